Add the HTTP module: cxxtools server, client that never resends

Cause: trials against a raw socket showed that the client of cxxtools sends a POST a second time when a reused connection breaks, and shows a cut chunked answer as status 200. The first breaks at-most-once, the second shows a fragment as whole. nng's HTTP client was tried too: it checks chunked ends, but offers no way to list response headers. Change: the server is cxxtools (compiled as C++17, its headers need it); the client writes and parses by Boost.Beast over a blocking socket with one deadline, never sends twice, and counts a body as whole only with a checked end.

--- /dev/null
+++ b/src/damaskthread/http/socket_stream.h
@@ -0,0 +1,101 @@
+#ifndef DAMASKTHREAD_HTTP_SOCKET_STREAM_H_
+#define DAMASKTHREAD_HTTP_SOCKET_STREAM_H_
+
+/// @file
+/// @brief Blocking TCP stream with one deadline over all operations, in the form that Boost.Beast reads and writes.
+
+#include <boost/asio/buffer.hpp>
+#include <boost/system/error_code.hpp>
+#include <boost/system/system_error.hpp>
+#include <chrono>
+#include <cstddef>
+#include <utility>
+
+#include "damaskthread/http/message.h"
+
+namespace damaskthread::http::internal {
+
+/// Owns a socket.
+class Socket {
+ public:
+  Socket() = default;
+  explicit Socket(int descriptor) noexcept : descriptor_(descriptor) {}
+  Socket(Socket&& other) noexcept : descriptor_(std::exchange(other.descriptor_, -1)) {}
+  Socket& operator=(Socket&& other) noexcept;
+  Socket(const Socket&) = delete;
+  Socket& operator=(const Socket&) = delete;
+  ~Socket();
+
+  [[nodiscard]] int descriptor() const noexcept { return descriptor_; }
+  [[nodiscard]] bool valid() const noexcept { return descriptor_ >= 0; }
+
+ private:
+  int descriptor_ = -1;
+};
+
+/// A SyncStream of Boost.Beast over a non-blocking socket.
+class SocketStream {
+ public:
+  using Clock = std::chrono::steady_clock;
+
+  SocketStream(int descriptor, Clock::time_point deadline) noexcept : descriptor_(descriptor), deadline_(deadline) {}
+
+  template <typename MutableBuffers>
+  std::size_t read_some(const MutableBuffers& buffers, boost::system::error_code& error) {
+    const boost::asio::mutable_buffer buffer = *boost::asio::buffer_sequence_begin(buffers);
+    return receive(buffer.data(), buffer.size(), error);
+  }
+
+  template <typename MutableBuffers>
+  std::size_t read_some(const MutableBuffers& buffers) {
+    boost::system::error_code error;
+    const std::size_t size = read_some(buffers, error);
+    if (error) throw boost::system::system_error(error);
+    return size;
+  }
+
+  template <typename ConstBuffers>
+  std::size_t write_some(const ConstBuffers& buffers, boost::system::error_code& error) {
+    constexpr std::size_t kMaxParts = 16;
+    const void* data[kMaxParts];
+    std::size_t sizes[kMaxParts];
+    std::size_t parts = 0;
+    const auto end = boost::asio::buffer_sequence_end(buffers);
+    for (auto part = boost::asio::buffer_sequence_begin(buffers); part != end && parts < kMaxParts; ++part) {
+      const boost::asio::const_buffer buffer = *part;
+      if (buffer.size() == 0) continue;
+      data[parts] = buffer.data();
+      sizes[parts++] = buffer.size();
+    }
+    return send(data, sizes, parts, error);
+  }
+
+  template <typename ConstBuffers>
+  std::size_t write_some(const ConstBuffers& buffers) {
+    boost::system::error_code error;
+    const std::size_t size = write_some(buffers, error);
+    if (error) throw boost::system::system_error(error);
+    return size;
+  }
+
+ private:
+  std::size_t receive(void* data, std::size_t size, boost::system::error_code& error);
+  std::size_t send(const void* const* data, const std::size_t* sizes, std::size_t parts,
+                   boost::system::error_code& error);
+
+  int descriptor_;
+  Clock::time_point deadline_;
+};
+
+/// @brief Connects to an endpoint.
+/// @param endpoint The peer, by IP number.
+/// @param deadline When to give up.
+/// @return The connected socket, or an invalid one.
+[[nodiscard]] Socket connect(const Endpoint& endpoint, std::chrono::steady_clock::time_point deadline);
+
+/// @brief Whether the peer has closed an idle connection, or sent bytes that nobody asked for.
+[[nodiscard]] bool is_stale(const Socket& socket) noexcept;
+
+}  // namespace damaskthread::http::internal
+
+#endif  // DAMASKTHREAD_HTTP_SOCKET_STREAM_H_
