--- a/src/damaskthread/admission/entrance_gate.cc
+++ b/src/damaskthread/admission/entrance_gate.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace damaskthread::admission {
 namespace {
@@ -42,7 +43,7 @@
   if (service.value >= entries_.size()) return {};
   const std::uint64_t entry = entries_[service.value].load(std::memory_order_relaxed);
   if ((entry & 0xFFFFFFFFU) == 0) return {};
-  return Level{static_cast<std::uint16_t>(decayed(entry, now) + 0.5)};
+  return Level{static_cast<std::uint16_t>(std::lround(decayed(entry, now)))};
 }
 
 void EntranceGate::heard(core::ServiceId service, Level level, core::TimePoint now) noexcept {
--- a/src/damaskthread/admission/internal/threshold_control.cc
+++ b/src/damaskthread/admission/internal/threshold_control.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 #include <numeric>
 
 namespace damaskthread::admission::internal {
@@ -40,7 +41,7 @@
       density *= std::pow(kUnseenDecay, windows);
       continue;
     }
-    const auto begin = arrivals_.begin() + k * kBucketCount;
+    const auto begin = arrivals_.begin() + static_cast<std::ptrdiff_t>(k) * kBucketCount;
     const double seen = std::accumulate(begin + first, begin + kBucketCount, 0.0) / (range * windows);
     density += (seen - density) * std::max(weight, 0.0) * range / (range + kPriorBuckets);
   }
--- a/src/damaskthread/admission/level.h
+++ b/src/damaskthread/admission/level.h
@@ -19,7 +19,8 @@
 /// it are refused; zero refuses nothing.
 struct Level {
   std::uint16_t value = 0;
-  auto operator<=>(const Level&) const = default;
+  // clang-tidy takes the zero in the rewritten comparison for a null pointer.
+  auto operator<=>(const Level&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 /// @brief Level of a request.
--- a/src/damaskthread/limit/adaptive_limit.cc
+++ b/src/damaskthread/limit/adaptive_limit.cc
@@ -1,6 +1,7 @@
 #include "damaskthread/limit/adaptive_limit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace damaskthread::limit {
 namespace {
@@ -108,7 +109,7 @@
     const double elapsed = started_ ? seconds(now - start_) / seconds(options_.warm_up) : 0;
     share = std::min(1.0, options_.warm_start + (1 - options_.warm_start) * std::max(0.0, elapsed));
   }
-  const int limit = static_cast<int>(std::min(target_, share * options_.slots) + 0.5);
+  const int limit = static_cast<int>(std::lround(std::min(target_, share * options_.slots)));
   limit_ = std::clamp(limit, options_.minimum, std::max(options_.minimum, options_.slots));
 }
 
--- a/src/damaskthread/quarantine/crash_quarantine.h
+++ b/src/damaskthread/quarantine/crash_quarantine.h
@@ -9,6 +9,7 @@
 #include <compare>
 #include <cstdint>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 #include "damaskthread/core/types.h"
@@ -44,6 +45,12 @@
   kHeld,   ///< Not to be run.
 };
 
+enum class StartResult : std::uint8_t {
+  kStarted,
+  kWait,  ///< A suspect while another one runs here; the call did not run and may be tried again shortly.
+  kHeld,
+};
+
 struct QuarantineOptions {
   /// Fingerprints remembered. 1,024 marks of about 150 bytes are a small part of the memory bound.
   int capacity = 1024;
@@ -51,8 +58,10 @@
   int suspects_per_crash = 256;
   /// A single crash is forgotten after this time.
   core::Duration suspect_expiry = std::chrono::minutes{10};
-  /// A held request is held for this time after its last crash; then one attempt is allowed at a time.
+  /// A held request is forgotten this long after its last crash.
   core::Duration hold = std::chrono::hours{1};
+  /// A suspect whose end is not reported stops blocking other suspects after this time.
+  core::Duration suspect_timeout = std::chrono::seconds{5};
   /// A mark is spread again for this time after it changed, so that a lost message does not lose it.
   core::Duration news_repeat = std::chrono::seconds{10};
   /// Most marks handed out by one call of `news`.
@@ -62,70 +71,77 @@
 /// @brief Marks requests that crash servers. Not safe for several threads at once, except for `any`.
 ///
 /// Every request that ran when a server crashed is a suspect. At any server only one suspect runs at a time, so that
-/// the next crash tells which of them is the cause: a suspect that finishes is cleared of all crashes so far, one that
-/// is accused of a second crash is held. Once the cause of a crash is found, the others are cleared of it. When two
-/// suspects share two crashes, because the news was late, each is tried alone instead of held; a third crash decides.
+/// the next crash tells which of them is the cause: a suspect that finishes is cleared of all its crashes so far, one
+/// that is accused of a second crash is held. Once a crash is explained by a held request, the others are cleared of
+/// it. Two suspects that share two crashes, because the news was late, cannot be told apart: each is tried alone, and a
+/// third crash decides.
 class CrashQuarantine {
  public:
   explicit CrashQuarantine(const QuarantineOptions& options = {});
 
   /// @brief Whether any fingerprint is marked; cheap and safe from any thread.
   [[nodiscard]] bool any() const noexcept { return size_.load(std::memory_order_relaxed) > 0; }
+  [[nodiscard]] int size() const noexcept { return size_.load(std::memory_order_relaxed); }
 
   [[nodiscard]] Treatment treatment(std::uint64_t fingerprint, core::TimePoint now) const noexcept;
   [[nodiscard]] bool held(std::uint64_t fingerprint, core::TimePoint now) const noexcept {
     return treatment(fingerprint, now) == Treatment::kHeld;
   }
 
+  /// @brief Asks, right before the local server is given a call, whether it may run now.
+  [[nodiscard]] StartResult start(std::uint64_t fingerprint, core::TimePoint now) noexcept;
+  /// @brief Ends a call that was started and neither answered nor crashed its server.
+  void end(std::uint64_t fingerprint) noexcept;
+  /// @brief Ends a call that its server answered, and clears it of the crashes known here.
+  void on_success(std::uint64_t fingerprint, core::TimePoint now) noexcept;
+
   /// @brief Accuses the requests that ran when a server crashed.
   /// @param crash Identifies the crash; the same at every daemon that reports it.
   /// @param running Fingerprints that ran at the crash.
   /// @param now The time.
   void on_crash(CrashId crash, std::span<const std::uint64_t> running, core::TimePoint now);
 
-  /// @brief Clears a request that a server answered.
-  void on_success(std::uint64_t fingerprint, core::TimePoint now) noexcept;
-
-  /// @brief Marks to be sent to other daemons, the least recently sent first; empty when there is nothing new.
+  /// @brief Marks to be sent to other daemons, the least recently sent first; empty when nothing changed of late.
   [[nodiscard]] std::vector<CrashMark> news(core::TimePoint now);
   /// @brief Takes in marks of other daemons.
   void merge(std::span<const CrashMark> marks, core::TimePoint now);
 
   /// @brief Forgets expired marks; to be called every second or so.
-  void tick(core::TimePoint now) noexcept;
-
-  [[nodiscard]] int size() const noexcept { return size_.load(std::memory_order_relaxed); }
+  void tick(core::TimePoint now);
 
  private:
   struct Accusation {
     CrashId crash;
     core::TimePoint time;
     bool cleared = false;
-    /// Another suspect of this crash shares an earlier one, so this crash does not tell them apart.
-    bool ambiguous = false;
   };
   struct Entry {
-    std::uint64_t fingerprint = 0;
-    bool used = false;
     std::array<Accusation, kCrashesPerMark> accusations{};
+    /// Result of the last `resolve`.
+    bool held = false;
     core::TimePoint changed;
     core::TimePoint sent;
   };
+  using Table = std::unordered_map<std::uint64_t, Entry>;
 
-  [[nodiscard]] const Entry* find(std::uint64_t fingerprint) const noexcept;
-  [[nodiscard]] Entry* find(std::uint64_t fingerprint) noexcept;
-  [[nodiscard]] Entry* insert(std::uint64_t fingerprint, core::TimePoint now) noexcept;
-  void erase(std::size_t index) noexcept;
-  bool accuse(Entry& entry, const Accusation& accusation, core::TimePoint now) noexcept;
-  /// Finds out whether a crash is explained by exactly one of its suspects.
-  void resolve(CrashId crash, core::TimePoint now) noexcept;
   [[nodiscard]] static int count(const Entry& entry) noexcept;
-  [[nodiscard]] static int count_clear_cut(const Entry& entry) noexcept;
-  [[nodiscard]] core::TimePoint expiry(const Entry& entry) const noexcept;
+  [[nodiscard]] static bool accused_of(const Entry& entry, CrashId crash) noexcept;
+  [[nodiscard]] static int shared(const Entry& left, const Entry& right) noexcept;
+  [[nodiscard]] static core::TimePoint latest(const Entry& entry) noexcept;
+  /// @return Whether the entry changed.
+  static bool accuse(Entry& entry, const Accusation& accusation) noexcept;
+  [[nodiscard]] Entry& find_or_insert(std::uint64_t fingerprint);
+  [[nodiscard]] bool expired(const Entry& entry, core::TimePoint now) const noexcept;
+  /// Decides anew which entries are held, and clears the others of the crashes that these explain.
+  void resolve(core::TimePoint now) noexcept;
+  void update_size() noexcept { size_.store(static_cast<int>(table_.size()), std::memory_order_relaxed); }
 
   QuarantineOptions options_;
-  std::vector<Entry> table_;
+  Table table_;
   std::atomic<int> size_{0};
+  /// The suspect that runs at the local server, if `suspect_until_` is in the future.
+  std::uint64_t suspect_ = 0;
+  core::TimePoint suspect_until_;
 };
 
 }  // namespace damaskthread::quarantine
--- a/src/damaskthread/quarantine/fwd.h
+++ b/src/damaskthread/quarantine/fwd.h
@@ -8,6 +8,7 @@
 struct CrashId;
 struct CrashMark;
 struct QuarantineOptions;
+enum class StartResult : std::uint8_t;
 enum class Treatment : std::uint8_t;
 class CrashQuarantine;
 
