--- /dev/null
+++ b/src/damaskthread/platform/log_client.h
@@ -0,0 +1,57 @@
+#ifndef DAMASKTHREAD_PLATFORM_LOG_CLIENT_H_
+#define DAMASKTHREAD_PLATFORM_LOG_CLIENT_H_
+
+/// @file
+/// @brief Client for the platform's log service.
+///
+/// Protocol: `POST /append` with one record as the body answers `{"offset":N}`; `GET /read?from=N&max=M` answers
+/// `{"first":F,"next":N,"records":[{"offset":O,"body":BASE64}]}`; `GET /info` answers `{"first":F,"next":N}`.
+/// 429 and 503 say that nothing was done.
+
+#include <boost/leaf/result.hpp>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "damaskthread/core/error.h"
+#include "damaskthread/platform/fwd.h"
+#include "damaskthread/resource/log_record.h"
+
+namespace damaskthread::platform {
+
+struct LogClientOptions {
+  std::string ip = "127.0.0.1";
+  std::uint16_t port = 0;
+  std::chrono::milliseconds connect_timeout{500};
+  std::chrono::milliseconds request_timeout{2'000};
+};
+
+/// Bounds of the log.
+struct LogInfo {
+  std::uint64_t first = 0;  ///< Offset of the oldest record kept.
+  std::uint64_t next = 0;   ///< Offset that the next append gets.
+};
+
+/// Each call uses its own connection, so that a broken one cannot make a later append unknown; any thread may call.
+/// Errors are `core::Error`: `kUnavailable` if nothing was done, `kUnknown` if the append may have taken effect.
+class LogClient {
+ public:
+  explicit LogClient(LogClientOptions options);
+
+  /// @brief Appends one record.
+  /// @return Its offset.
+  [[nodiscard]] boost::leaf::result<std::uint64_t> append(std::string_view record) const;
+  /// @brief Reads records.
+  /// @param from First offset wanted; the log starts at its oldest record if that is later.
+  /// @param max Number of records at most.
+  [[nodiscard]] boost::leaf::result<resource::LogSlice> read(std::uint64_t from, std::size_t max) const;
+  [[nodiscard]] boost::leaf::result<LogInfo> info() const;
+
+ private:
+  LogClientOptions options_;
+};
+
+}  // namespace damaskthread::platform
+
+#endif  // DAMASKTHREAD_PLATFORM_LOG_CLIENT_H_
--- /dev/null
+++ b/src/damaskthread/resource/log_record.h
@@ -0,0 +1,71 @@
+#ifndef DAMASKTHREAD_RESOURCE_LOG_RECORD_H_
+#define DAMASKTHREAD_RESOURCE_LOG_RECORD_H_
+
+/// @file
+/// @brief Records that the configuration keeps on the log, and runs of log entries.
+///
+/// Rule for older and newer versions: a record whose `format` is not 1 is skipped by every version, and fields that
+/// this version does not know are ignored. Whether a record is accepted therefore depends only on the fields of
+/// format 1, which do not change; the body is never interpreted for that decision. A change that needs other rules
+/// needs another log stream.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "damaskthread/resource/fwd.h"
+
+namespace damaskthread::resource {
+
+inline constexpr int kRecordFormat = 1;
+
+enum class RecordOperation : std::uint8_t { kPut, kDelete, kSnapshot, kAnnounce };
+
+[[nodiscard]] std::string_view to_string(RecordOperation operation) noexcept;
+
+/// One record on the log.
+struct LogRecord {
+  RecordOperation operation = RecordOperation::kPut;
+  std::string kind;
+  std::string name;
+  std::uint64_t base_version = 0;  ///< Version that a put or delete replaces; 0 creates.
+  std::string operation_id;        ///< Names the operator's request; a repeat carries the same id.
+  std::string author;
+  std::string body;  ///< Text; JSON for put and announce.
+
+  bool operator==(const LogRecord&) const = default;
+};
+
+/// Entry of the log as it was read.
+struct LogEntry {
+  std::uint64_t offset = 0;
+  std::string bytes;
+
+  bool operator==(const LogEntry&) const = default;
+};
+
+/// A run of entries with the bounds of the log at the time of reading.
+struct LogSlice {
+  std::uint64_t first = 0;  ///< Offset of the oldest entry kept.
+  std::uint64_t next = 0;   ///< Offset that the next append gets.
+  std::vector<LogEntry> entries;
+
+  bool operator==(const LogSlice&) const = default;
+};
+
+/// @brief Encodes a record as JSON text.
+/// @return The bytes, or nothing if they exceed 64 KB or a field is not valid UTF-8.
+[[nodiscard]] std::optional<std::string> encode(const LogRecord& record);
+
+/// @brief Decodes a record.
+/// @return The record, or nothing for a truncated, oversized, foreign or unknown-format record.
+[[nodiscard]] std::optional<LogRecord> decode(std::string_view bytes);
+
+/// @brief Whether a text can be an operation id: 1 to 64 of letters, digits, `-`, `_`, `.`.
+[[nodiscard]] bool is_valid_operation_id(std::string_view id) noexcept;
+
+}  // namespace damaskthread::resource
+
+#endif  // DAMASKTHREAD_RESOURCE_LOG_RECORD_H_
