--- a/src/damaskthread/core/mac.cc
+++ b/src/damaskthread/core/mac.cc
@@ -7,8 +7,8 @@
 
 // sodium_init selects the fastest implementation for the processor; it may be called any number of times.
 void prepare() noexcept {
-  static const int kResult = sodium_init();
-  (void)kResult;
+  static const int result = sodium_init();
+  (void)result;
 }
 
 }  // namespace
--- a/src/damaskthread/execution/table.h
+++ b/src/damaskthread/execution/table.h
@@ -39,8 +39,8 @@
 struct TableOptions {
   core::Duration validity = std::chrono::minutes(5);  ///< How long a token may be used after its issue.
   std::size_t capacity = 65536;                       ///< Ids over all shards.
-  std::size_t max_answer_bytes = 64 * 1024;
-  std::size_t answer_budget_bytes = 16 * 1024 * 1024;  ///< All stored answers together.
+  std::size_t max_answer_bytes = std::size_t{64} * 1024;
+  std::size_t answer_budget_bytes = std::size_t{16} * 1024 * 1024;  ///< All stored answers together.
 };
 
 /// What a call with a token may do.
