--- /dev/null
+++ b/src/damaskthread/resource/resource_store.cc
@@ -0,0 +1,478 @@
+#include "damaskthread/resource/resource_store.h"
+
+#include <algorithm>
+#include <atomic>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
+#include <utility>
+
+#include "damaskthread/resource/internal/replica_state.h"
+#include "damaskthread/resource/internal/snapshot.h"
+
+namespace damaskthread::resource {
+namespace {
+
+using internal::Decision;
+using internal::ReplicaState;
+using internal::ResourceKey;
+using internal::StoredResource;
+using Json = nlohmann::json;
+
+constexpr std::size_t kAnnouncementsKept = 1'024;
+// A writer that has just been told to write a snapshot gets this long to append it and read it back.
+constexpr core::Duration kSnapshotWriteTime = std::chrono::seconds{5};
+
+std::string encode_slice(std::uint64_t first, std::uint64_t next, const std::vector<LogEntry>& entries) {
+  Json records = Json::array();
+  for (const LogEntry& entry : entries) {
+    records.push_back(Json::array({entry.offset, internal::encode_base64(entry.bytes)}));
+  }
+  return Json{{"first", first}, {"next", next}, {"records", std::move(records)}}.dump();
+}
+
+std::optional<std::vector<LogEntry>> decode_slice(std::string_view bytes) {
+  const Json json = Json::parse(bytes.begin(), bytes.end(), nullptr, false);
+  if (!json.is_object() || !json.contains("records") || !json["records"].is_array()) return std::nullopt;
+  std::vector<LogEntry> entries;
+  for (const Json& record : json["records"]) {
+    const bool valid =
+        record.is_array() && record.size() >= 2 && record[0].is_number_unsigned() && record[1].is_string();
+    if (!valid) return std::nullopt;
+    auto body = internal::decode_base64(record[1].get_ref<const std::string&>());
+    if (!body) return std::nullopt;
+    entries.push_back({record[0].get<std::uint64_t>(), std::move(*body)});
+  }
+  return entries;
+}
+
+}  // namespace
+
+// Everything behind the store's lock, except the table and the two counters that the data path reads.
+class ResourceStore::Replica {
+ public:
+  explicit Replica(StoreOptions options) : options_(options), state_(options.operations_kept, options.resources_kept) {}
+
+  LogCondition apply(const LogSlice& slice, core::TimePoint now);
+  bool apply_records(std::string_view bytes, core::TimePoint now);
+  bool apply_state(std::string_view bytes);
+  void accept_gap();
+  bool snapshot_due(core::TimePoint now, core::Random& random);
+  [[nodiscard]] std::optional<std::string> records_since(std::uint64_t offset, std::size_t max_bytes) const;
+  [[nodiscard]] ResourceView view(const ResourceKey& key, const StoredResource& resource) const;
+
+  [[nodiscard]] std::uint64_t read_from() const {
+    return condition_ == LogCondition::kGap ? std::max(scan_, log_first_) : state_.offset;
+  }
+  [[nodiscard]] bool anchored() const { return started_ && condition_ == LogCondition::kContiguous; }
+
+  mutable std::mutex mutex;
+  mutable std::mutex table_mutex;
+  std::shared_ptr<const ServiceTable> table = std::make_shared<ServiceTable>();
+  std::atomic<std::uint64_t> revision{0};
+  std::atomic<std::uint64_t> offset{0};
+
+  [[nodiscard]] const ReplicaState& state() const { return state_; }
+  [[nodiscard]] LogCondition condition() const { return condition_; }
+  [[nodiscard]] const StoreCounters& counters() const { return counters_; }
+  [[nodiscard]] const std::map<std::string, Announcement>& announcements() const { return announcements_; }
+
+ private:
+  void observe(const LogSlice& slice);
+  void close_gap_if_reached();
+  void apply_entry(const LogEntry& entry, core::TimePoint now);
+  void search_snapshot(const LogEntry& entry, core::TimePoint now);
+  std::optional<internal::Snapshot> add_part(const LogRecord& record, std::uint64_t position, core::TimePoint now);
+  bool load(std::string_view bytes);
+  void decide(const LogRecord& record);
+  void note_announcement(const LogRecord& record, std::uint64_t position);
+  void update_declaration(const ResourceKey& key, const StoredResource& resource);
+  void publish();
+  [[nodiscard]] bool snapshot_wanted(core::TimePoint now) const;
+
+  struct KnownSnapshot {
+    std::uint64_t offset = 0;
+    std::size_t parts = 0;
+    core::TimePoint seen_at;
+  };
+
+  const StoreOptions options_;
+  ReplicaState state_;
+  StoreCounters counters_;
+  LogCondition condition_ = LogCondition::kContiguous;
+  bool started_ = false;
+  core::TimePoint started_at_;
+  std::uint64_t log_first_ = 0;
+  std::uint64_t scan_ = 0;
+  std::deque<LogEntry> recent_;
+  std::size_t recent_bytes_ = 0;
+  internal::SnapshotAssembler assembler_;
+  std::optional<KnownSnapshot> snapshot_;
+  std::optional<core::TimePoint> snapshot_not_before_;
+  std::map<std::string, Announcement> announcements_;
+  // The last declaration of each service that this version could read, and the resources it could not.
+  ServiceTable::Map declarations_;
+  std::set<ResourceKey> not_understood_;
+  bool changed_ = false;
+};
+
+LogCondition ResourceStore::Replica::apply(const LogSlice& slice, core::TimePoint now) {
+  if (!started_) started_at_ = now;
+  started_ = true;
+  observe(slice);
+  if (condition_ == LogCondition::kRegressed) return condition_;
+  for (const LogEntry& entry : slice.entries) {
+    if (condition_ == LogCondition::kGap) {
+      search_snapshot(entry, now);
+      continue;
+    }
+    if (entry.offset < state_.offset) continue;
+    // Entries beyond a hole cannot be decided; the caller reads again from `read_from()`.
+    if (entry.offset > state_.offset) break;
+    apply_entry(entry, now);
+  }
+  publish();
+  return condition_;
+}
+
+void ResourceStore::Replica::observe(const LogSlice& slice) {
+  log_first_ = slice.first;
+  if (slice.next < state_.offset) {
+    if (condition_ != LogCondition::kRegressed) ++counters_.regressions;
+    condition_ = LogCondition::kRegressed;
+    return;
+  }
+  if (condition_ == LogCondition::kRegressed) condition_ = LogCondition::kContiguous;
+  if (slice.first <= state_.offset) {
+    condition_ = LogCondition::kContiguous;
+    return;
+  }
+  if (condition_ == LogCondition::kGap) return;
+  condition_ = LogCondition::kGap;
+  scan_ = slice.first;
+  assembler_.clear();
+  ++counters_.gaps;
+}
+
+void ResourceStore::Replica::close_gap_if_reached() {
+  if (condition_ != LogCondition::kGap || state_.offset < log_first_) return;
+  condition_ = LogCondition::kContiguous;
+  assembler_.clear();
+}
+
+void ResourceStore::Replica::apply_entry(const LogEntry& entry, core::TimePoint now) {
+  state_.offset = entry.offset + 1;
+  recent_.push_back(entry);
+  recent_bytes_ += entry.bytes.size();
+  while (recent_bytes_ > options_.recent_bytes) {
+    recent_bytes_ -= recent_.front().bytes.size();
+    recent_.pop_front();
+  }
+  const auto record = decode(entry.bytes);
+  if (!record) {
+    ++counters_.skipped;
+    return;
+  }
+  switch (record->operation) {
+    case RecordOperation::kPut:
+    case RecordOperation::kDelete:
+      decide(*record);
+      break;
+    case RecordOperation::kSnapshot:
+      static_cast<void>(add_part(*record, entry.offset, now));
+      break;
+    case RecordOperation::kAnnounce:
+      note_announcement(*record, entry.offset);
+      break;
+  }
+}
+
+void ResourceStore::Replica::search_snapshot(const LogEntry& entry, core::TimePoint now) {
+  if (entry.offset < scan_) return;
+  scan_ = entry.offset + 1;
+  const auto record = decode(entry.bytes);
+  if (!record) return;
+  if (record->operation == RecordOperation::kAnnounce) note_announcement(*record, entry.offset);
+  if (record->operation != RecordOperation::kSnapshot) return;
+  const auto snapshot = add_part(*record, entry.offset, now);
+  if (snapshot && load(snapshot->state)) close_gap_if_reached();
+}
+
+std::optional<internal::Snapshot> ResourceStore::Replica::add_part(const LogRecord& record, std::uint64_t position,
+                                                                   core::TimePoint now) {
+  bool valid = false;
+  auto snapshot = assembler_.add(record, position, valid);
+  if (!valid) ++counters_.skipped;
+  if (!snapshot) return std::nullopt;
+  ++counters_.snapshots_seen;
+  if (snapshot_ && snapshot->offset <= snapshot_->offset) return snapshot;
+  snapshot_ = KnownSnapshot{snapshot->offset, snapshot->parts, now};
+  snapshot_not_before_.reset();
+  return snapshot;
+}
+
+// Loads a state that is ahead of this one; never moves backwards.
+bool ResourceStore::Replica::load(std::string_view bytes) {
+  auto loaded = state_.decode(bytes);
+  if (!loaded || loaded->offset <= state_.offset || loaded->revision < state_.revision) {
+    ++counters_.states_refused;
+    return false;
+  }
+  state_ = std::move(*loaded);
+  ++counters_.states_loaded;
+  recent_.clear();
+  recent_bytes_ = 0;
+  ServiceTable::Map previous;
+  std::swap(previous, declarations_);
+  not_understood_.clear();
+  for (const auto& [key, resource] : state_.resources()) {
+    const auto known = key.first == kServiceKind ? previous.find(key.second) : previous.end();
+    if (known != previous.end()) declarations_.insert(*known);
+    update_declaration(key, resource);
+  }
+  changed_ = true;
+  return true;
+}
+
+void ResourceStore::Replica::decide(const LogRecord& record) {
+  const Decision decision = state_.apply(record);
+  if (decision == Decision::kRepeat) ++counters_.repeats;
+  if (decision == Decision::kConflict) ++counters_.conflicts;
+  if (decision != Decision::kAccepted) return;
+  ++counters_.accepted;
+  changed_ = true;
+  const ResourceKey key{record.kind, record.name};
+  update_declaration(key, state_.resources().at(key));
+}
+
+// A body that this version cannot read leaves the declaration that is in force.
+void ResourceStore::Replica::update_declaration(const ResourceKey& key, const StoredResource& resource) {
+  not_understood_.erase(key);
+  if (key.first != kServiceKind) return;
+  if (resource.deleted) {
+    declarations_.erase(key.second);
+    return;
+  }
+  const auto known = declarations_.find(key.second);
+  if (known != declarations_.end() && known->second.version == resource.version) return;
+  ParsedDeclaration parsed = parse_declaration(resource.body, key.second, ParseMode::kStored);
+  if (!parsed.declaration || parsed.declaration->name != key.second) {
+    ++counters_.not_understood;
+    not_understood_.insert(key);
+    return;
+  }
+  declarations_[key.second] = {std::make_shared<const ServiceDeclaration>(std::move(*parsed.declaration)),
+                               resource.version};
+}
+
+void ResourceStore::Replica::publish() {
+  if (changed_) {
+    auto next = std::make_shared<const ServiceTable>(declarations_, state_.revision);
+    const std::scoped_lock lock{table_mutex};
+    table.swap(next);
+  }
+  changed_ = false;
+  revision.store(state_.revision, std::memory_order_release);
+  offset.store(state_.offset, std::memory_order_release);
+}
+
+void ResourceStore::Replica::note_announcement(const LogRecord& record, std::uint64_t position) {
+  announcements_[record.name] = {record.name, record.body, position};
+  if (announcements_.size() <= kAnnouncementsKept) return;
+  announcements_.erase(std::min_element(announcements_.begin(), announcements_.end(), [](const auto& a, const auto& b) {
+    return a.second.offset < b.second.offset;
+  }));
+}
+
+bool ResourceStore::Replica::apply_records(std::string_view bytes, core::TimePoint now) {
+  const auto entries = decode_slice(bytes);
+  if (!entries) return false;
+  const bool contiguous =
+      std::adjacent_find(entries->begin(), entries->end(), [](const LogEntry& a, const LogEntry& b) {
+        return b.offset != a.offset + 1;
+      }) == entries->end();
+  if (!contiguous || (!entries->empty() && entries->front().offset > state_.offset)) return false;
+  for (const LogEntry& entry : *entries) {
+    if (entry.offset == state_.offset) apply_entry(entry, now);
+  }
+  if (!started_) started_at_ = now;
+  started_ = true;
+  close_gap_if_reached();
+  publish();
+  return true;
+}
+
+bool ResourceStore::Replica::apply_state(std::string_view bytes) {
+  if (!load(bytes)) return false;
+  started_ = true;
+  close_gap_if_reached();
+  publish();
+  return true;
+}
+
+void ResourceStore::Replica::accept_gap() {
+  if (condition_ != LogCondition::kGap) return;
+  state_.offset = log_first_;
+  recent_.clear();
+  recent_bytes_ = 0;
+  close_gap_if_reached();
+  publish();
+}
+
+std::optional<std::string> ResourceStore::Replica::records_since(std::uint64_t from, std::size_t max_bytes) const {
+  if (from > state_.offset) return std::nullopt;
+  if (from < state_.offset - recent_.size()) return std::nullopt;
+  std::vector<LogEntry> entries;
+  std::size_t bytes = 0;
+  for (std::uint64_t i = from - (state_.offset - recent_.size()); i < recent_.size(); ++i) {
+    // Base64 and punctuation make an entry about half as large again.
+    bytes += recent_[i].bytes.size() * 3 / 2 + 32;
+    if (bytes > max_bytes && !entries.empty()) break;
+    entries.push_back(recent_[i]);
+  }
+  return encode_slice(from, state_.offset, entries);
+}
+
+ResourceView ResourceStore::Replica::view(const ResourceKey& key, const StoredResource& resource) const {
+  return {key.first,       key.second,   resource.version, resource.deleted, !not_understood_.contains(key),
+          resource.author, resource.body};
+}
+
+bool ResourceStore::Replica::snapshot_wanted(core::TimePoint now) const {
+  if (!anchored() || state_.offset == 0) return false;
+  const bool cut = log_first_ > 0;
+  if (!snapshot_) {
+    return cut || state_.offset >= options_.snapshot_records ||
+           (state_.revision > 0 && now - started_at_ >= options_.snapshot_age);
+  }
+  if (snapshot_->offset < log_first_) return true;
+  const std::uint64_t end = std::min(state_.offset, snapshot_->offset + snapshot_->parts);
+  const std::uint64_t after = state_.offset - end;
+  if (after >= options_.snapshot_records || now - snapshot_->seen_at >= options_.snapshot_age) return true;
+  // The log has begun to drop records and the snapshot lies in its older half.
+  return cut && after > snapshot_->offset - log_first_;
+}
+
+bool ResourceStore::Replica::snapshot_due(core::TimePoint now, core::Random& random) {
+  if (!snapshot_wanted(now)) {
+    snapshot_not_before_.reset();
+    return false;
+  }
+  std::uniform_int_distribution<core::Duration::rep> wait{0, options_.snapshot_jitter.count()};
+  if (!snapshot_not_before_) snapshot_not_before_ = now + core::Duration{wait(random)};
+  if (now < *snapshot_not_before_) return false;
+  snapshot_not_before_ = now + kSnapshotWriteTime + core::Duration{wait(random)};
+  return true;
+}
+
+ResourceStore::ResourceStore(StoreOptions options) : replica_(std::make_unique<Replica>(options)) {}
+ResourceStore::~ResourceStore() = default;
+
+LogCondition ResourceStore::apply(const LogSlice& slice, core::TimePoint now) {
+  const std::scoped_lock lock{replica_->mutex};
+  return replica_->apply(slice, now);
+}
+
+std::uint64_t ResourceStore::read_from() const {
+  const std::scoped_lock lock{replica_->mutex};
+  return replica_->read_from();
+}
+
+std::uint64_t ResourceStore::revision() const noexcept { return replica_->revision.load(std::memory_order_acquire); }
+
+std::uint64_t ResourceStore::offset() const noexcept { return replica_->offset.load(std::memory_order_acquire); }
+
+bool ResourceStore::anchored() const {
+  const std::scoped_lock lock{replica_->mutex};
+  return replica_->anchored();
+}
+
+LogCondition ResourceStore::condition() const {
+  const std::scoped_lock lock{replica_->mutex};
+  return replica_->condition();
+}
+
+std::shared_ptr<const ServiceTable> ResourceStore::table() const {
+  const std::scoped_lock lock{replica_->table_mutex};
+  return replica_->table;
+}
+
+OperationOutcome ResourceStore::outcome(std::string_view operation_id) const {
+  const std::scoped_lock lock{replica_->mutex};
+  const OperationOutcome* outcome = replica_->state().outcome(operation_id);
+  return outcome == nullptr ? OperationOutcome{} : *outcome;
+}
+
+std::optional<ResourceView> ResourceStore::find(std::string_view kind, std::string_view name) const {
+  const std::scoped_lock lock{replica_->mutex};
+  const auto& resources = replica_->state().resources();
+  const auto it = resources.find(ResourceKey{kind, name});
+  if (it == resources.end()) return std::nullopt;
+  return replica_->view(it->first, it->second);
+}
+
+std::vector<ResourceView> ResourceStore::list() const {
+  const std::scoped_lock lock{replica_->mutex};
+  std::vector<ResourceView> views;
+  for (const auto& [key, resource] : replica_->state().resources()) {
+    if (!resource.deleted) views.push_back(replica_->view(key, resource));
+  }
+  return views;
+}
+
+std::vector<Announcement> ResourceStore::announcements() const {
+  const std::scoped_lock lock{replica_->mutex};
+  std::vector<Announcement> all;
+  for (const auto& [name, announcement] : replica_->announcements()) all.push_back(announcement);
+  return all;
+}
+
+StoreCounters ResourceStore::counters() const {
+  const std::scoped_lock lock{replica_->mutex};
+  return replica_->counters();
+}
+
+bool ResourceStore::snapshot_due(core::TimePoint now, core::Random& random) {
+  const std::scoped_lock lock{replica_->mutex};
+  return replica_->snapshot_due(now, random);
+}
+
+std::vector<std::string> ResourceStore::snapshot_records(std::string_view author, std::string_view snapshot_id) const {
+  const std::scoped_lock lock{replica_->mutex};
+  return internal::split_snapshot(replica_->state().encode(), replica_->state().offset, author, snapshot_id);
+}
+
+std::optional<std::string> ResourceStore::records_since(std::uint64_t offset, std::size_t max_bytes) const {
+  const std::scoped_lock lock{replica_->mutex};
+  return replica_->records_since(offset, max_bytes);
+}
+
+bool ResourceStore::apply_records(std::string_view bytes, core::TimePoint now) {
+  const std::scoped_lock lock{replica_->mutex};
+  return replica_->apply_records(bytes, now);
+}
+
+std::string ResourceStore::state() const {
+  const std::scoped_lock lock{replica_->mutex};
+  return replica_->state().encode();
+}
+
+bool ResourceStore::apply_state(std::string_view bytes) {
+  const std::scoped_lock lock{replica_->mutex};
+  return replica_->apply_state(bytes);
+}
+
+void ResourceStore::accept_gap() {
+  const std::scoped_lock lock{replica_->mutex};
+  replica_->accept_gap();
+}
+
+std::uint64_t ResourceStore::digest() const {
+  const std::scoped_lock lock{replica_->mutex};
+  return internal::hash_bytes(replica_->state().encode());
+}
+
+}  // namespace damaskthread::resource
--- a/src/damaskthread/resource/resource_store.h
+++ b/src/damaskthread/resource/resource_store.h
@@ -53,7 +53,7 @@
   /// Operations whose outcome is remembered. Part of the replicated state: the same for the whole fleet.
   std::size_t operations_kept = 2'048;
   /// Resources and tombstones kept; beyond it the oldest tombstone goes. The same for the whole fleet.
-  std::size_t resources_kept = 4'096;
+  std::size_t resources_kept = 1'024;
   /// Raw records kept for peers that lag.
   std::size_t recent_bytes = 4 * 1024 * 1024;
   /// A snapshot is rewritten after this many records or this time, whichever comes first, or once it lies in the
