--- /dev/null
+++ b/src/damaskthread/replication/replication.cc
@@ -0,0 +1,240 @@
+#include "damaskthread/replication/replication.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace damaskthread::replication {
+namespace {
+
+std::uint64_t weight(core::ServerId id, std::string_view zone) noexcept {
+  return XXH3_64bits_withSeed(zone.data(), zone.size(), XXH3_64bits(&id.value, sizeof id.value));
+}
+
+}  // namespace
+
+bool is_poller(core::ServerId self, std::string_view zone, std::span<const membership::Member> members,
+               std::size_t count) {
+  const std::uint64_t own = weight(self, zone);
+  std::size_t above = 0;
+  for (const membership::Member& member : members) {
+    if (member.id == self || member.state != membership::State::kAlive || member.info->zone != zone) continue;
+    const std::uint64_t other = weight(member.id, zone);
+    if (other > own || (other == own && member.id > self)) ++above;
+  }
+  return above < count;
+}
+
+Replication::Replication(core::ServerId self, ConfigSource& source, ConfigSink& sink, Options options)
+    : self_{self}, source_{source}, sink_{sink}, options_{options} {}
+
+wire::ConfigDigest Replication::digest() const { return {.revision = source_.revision(), .offset = source_.offset()}; }
+
+void Replication::set_view(std::span<const membership::Member> members, core::TimePoint now) {
+  std::unordered_set<core::ServerId> living;
+  for (const membership::Member& member : members) {
+    if (member.id == self_) {
+      polls_log_ = is_poller(self_, member.info->zone, members, options_.pollers_per_zone);
+      continue;
+    }
+    if (member.state == membership::State::kDead) continue;
+    living.insert(member.id);
+    Peer& peer = peers_[member.id];
+    if (peer.incarnation != member.incarnation) {
+      peer = Peer{.incarnation = member.incarnation,
+                  .address = {},
+                  .digest = {},
+                  .heard = now,
+                  .behind_since = {},
+                  .lag_noted = false};
+    }
+    peer.address = member.info->control_address;
+  }
+  std::erase_if(peers_, [&](const auto& item) { return !living.contains(item.first); });
+}
+
+void Replication::hear(Peer& peer, const wire::ConfigDigest& digest, core::TimePoint now) const {
+  // Messages may overtake each other; a daemon's configuration never goes back within an incarnation.
+  if (peer.digest && digest < *peer.digest) return;
+  peer.digest = digest;
+  peer.heard = now;
+  if (digest.revision >= source_.revision()) {
+    peer.behind_since.reset();
+  } else if (!peer.behind_since) {
+    peer.behind_since = now;
+  }
+}
+
+bool Replication::worth_fetching(const wire::ConfigDigest& digest, core::TimePoint now) const {
+  if (digest.revision != source_.revision()) return digest.revision > source_.revision();
+  return digest.offset > source_.offset() && (!offset_fetched_ || now - *offset_fetched_ >= options_.offset_refresh);
+}
+
+std::vector<wire::Outgoing> Replication::receive(const wire::Sender& sender, const wire::Message& message,
+                                                 core::TimePoint now) {
+  std::vector<wire::Outgoing> out;
+  const auto found = peers_.find(sender.id);
+  if (found == peers_.end() || found->second.incarnation != sender.incarnation) return out;
+  if (message.digest) {
+    hear(found->second, *message.digest, now);
+    if (!fetch_ && worth_fetching(*message.digest, now)) fetch(sender.id, false, now, out);
+  }
+  if (const auto* request = std::get_if<wire::ConfigRequest>(&message.body)) {
+    serve(*request, found->second.address, out);
+  } else if (const auto* chunk = std::get_if<wire::ConfigChunk>(&message.body)) {
+    take_chunk(sender.id, *chunk, now, out);
+  }
+  return out;
+}
+
+void Replication::fetch(core::ServerId id, bool state, core::TimePoint now, std::vector<wire::Outgoing>& out) {
+  fetch_ = Fetch{.peer = id,
+                 .request = {.state = state, .offset = source_.offset(), .part = 0},
+                 .sent = now,
+                 .reaches = {},
+                 .parts = 1,
+                 .gathered = {}};
+  const auto peer = peers_.find(id);
+  if (peer->second.digest && peer->second.digest->revision == source_.revision()) offset_fetched_ = now;
+  request_part(now, out);
+}
+
+void Replication::request_part(core::TimePoint now, std::vector<wire::Outgoing>& out) {
+  const auto peer = peers_.find(fetch_->peer);
+  if (peer == peers_.end()) {
+    fetch_.reset();
+    return;
+  }
+  fetch_->sent = now;
+  ++counters_.requests_sent;
+  wire::Message message;
+  message.body = fetch_->request;
+  message.digest = digest();
+  out.push_back({peer->second.address, std::move(message)});
+}
+
+const std::string& Replication::cached_state() {
+  const wire::ConfigDigest current = digest();
+  if (!state_cache_ || state_cache_->reaches != current) state_cache_ = Payload{current, source_.state()};
+  return state_cache_->bytes;
+}
+
+void Replication::serve(const wire::ConfigRequest& request, const std::string& address,
+                        std::vector<wire::Outgoing>& out) {
+  std::optional<std::string> records;
+  if (!request.state) records = source_.records_since(request.offset, options_.records_bytes);
+  const std::string& payload = records ? *records : cached_state();
+  const std::size_t parts = std::max<std::size_t>(1, (payload.size() + wire::kMaxChunkBytes - 1) / wire::kMaxChunkBytes);
+  if (request.part >= parts) return;
+  ++counters_.requests_served;
+  wire::Message message;
+  message.digest = digest();
+  message.body = wire::ConfigChunk{.state = !records,
+                                   .reaches = digest(),
+                                   .from_offset = request.offset,
+                                   .part = request.part,
+                                   .parts = static_cast<std::uint32_t>(parts),
+                                   .bytes = payload.substr(request.part * wire::kMaxChunkBytes, wire::kMaxChunkBytes)};
+  out.push_back({address, std::move(message)});
+}
+
+void Replication::take_chunk(core::ServerId from, const wire::ConfigChunk& chunk, core::TimePoint now,
+                             std::vector<wire::Outgoing>& out) {
+  if (!fetch_ || fetch_->peer != from || chunk.part != fetch_->request.part ||
+      chunk.from_offset != fetch_->request.offset) {
+    ++counters_.stale_dropped;
+    return;
+  }
+  if (std::size_t{chunk.parts} * wire::kMaxChunkBytes > options_.max_transfer_bytes) {
+    ++counters_.transfers_refused;
+    fetch_.reset();
+    return;
+  }
+  const bool first = chunk.part == 0;
+  // The peer moved on between two parts, so that they belong to different payloads.
+  if (!first && (fetch_->reaches != chunk.reaches || fetch_->parts != chunk.parts || fetch_->request.state != chunk.state)) {
+    fetch(from, fetch_->request.state, now, out);
+    return;
+  }
+  if (first) {
+    fetch_->reaches = chunk.reaches;
+    fetch_->parts = chunk.parts;
+    fetch_->request.state = chunk.state;
+  }
+  fetch_->gathered += chunk.bytes;
+  if (++fetch_->request.part < fetch_->parts) return request_part(now, out);
+  finish_transfer(now, out);
+}
+
+void Replication::finish_transfer(core::TimePoint now, std::vector<wire::Outgoing>& out) {
+  const Fetch done = std::move(*fetch_);
+  fetch_.reset();
+  const wire::ConfigDigest before = digest();
+  // The log may have been polled meanwhile. A state of lower or equal revision is never applied; records apply only
+  // where they continue.
+  const bool stale = done.request.state ? done.reaches->revision <= before.revision && done.reaches->offset <= before.offset
+                                        : done.request.offset != before.offset;
+  if (stale || (done.request.state && done.reaches->revision < before.revision)) {
+    ++counters_.stale_dropped;
+    return;
+  }
+  const bool applied = done.request.state ? sink_.apply_state(done.gathered) : sink_.apply_records(done.gathered);
+  const bool moved = applied && digest() > before;
+  ++(moved ? counters_.transfers_applied : counters_.transfers_refused);
+  const auto peer = peers_.find(done.peer);
+  if (peer == peers_.end() || done.reaches->revision <= source_.revision()) return;
+  // More records follow if the last ones applied; if they did not, the state does not depend on where this daemon stands.
+  if (moved) {
+    fetch(done.peer, false, now, out);
+  } else if (!done.request.state) {
+    fetch(done.peer, true, now, out);
+  }
+}
+
+void Replication::note_lag(core::ServerId id, Peer& peer, core::TimePoint now) {
+  const bool lags = peer.behind_since && now - peer.heard < options_.fresh &&
+                    now - *peer.behind_since >= options_.lag_after;
+  if (lags == peer.lag_noted || (!lags && peer.behind_since)) return;
+  peer.lag_noted = lags;
+  const core::Duration behind = lags ? now - *peer.behind_since : core::Duration{0};
+  lag_notes_.push_back({.id = id,
+                        .incarnation = peer.incarnation,
+                        .revision = peer.digest->revision,
+                        .behind = std::chrono::duration_cast<std::chrono::milliseconds>(behind)});
+}
+
+std::vector<wire::Outgoing> Replication::tick(core::TimePoint now, core::Random& random) {
+  std::vector<wire::Outgoing> out;
+  if (fetch_ && now - fetch_->sent >= options_.request_timeout) {
+    ++counters_.timeouts;
+    fetch_.reset();
+  }
+  std::vector<core::ServerId> ahead;
+  const std::uint64_t revision = source_.revision();
+  for (auto& [id, peer] : peers_) {
+    if (!peer.digest) continue;
+    if (peer.behind_since || peer.lag_noted) note_lag(id, peer, now);
+    if (!fetch_ && peer.digest->revision > revision) ahead.push_back(id);
+  }
+  if (!ahead.empty()) {
+    fetch(ahead[std::uniform_int_distribution<std::size_t>{0, ahead.size() - 1}(random)], false, now, out);
+  }
+  return out;
+}
+
+std::vector<PeerConfig> Replication::peers(core::TimePoint now) const {
+  std::vector<PeerConfig> result;
+  result.reserve(peers_.size());
+  for (const auto& [id, peer] : peers_) {
+    const core::Duration silence = now - peer.heard;
+    PeerConfig config{.id = id, .digest = {}, .heard = peer.heard, .behind = {}};
+    if (silence < options_.unknown_after) config.digest = peer.digest;
+    if (peer.behind_since && silence < options_.fresh) config.behind = now - *peer.behind_since;
+    result.push_back(config);
+  }
+  std::ranges::sort(result, {}, &PeerConfig::id);
+  return result;
+}
+
+}  // namespace damaskthread::replication
