--- a/src/damaskthread/engine/inbound_call.cc
+++ b/src/damaskthread/engine/inbound_call.cc
@@ -40,6 +40,10 @@
   arrival_.continued = context.depth > 0;
   arrival_.deadline = now + context.time_left.value_or(resource::kDefaultDeadline);
   if (std::optional<InboundStep> step = check_service()) return std::move(*step);
+  // The ledger remembers each attempt, so that one which is delivered twice is handled once.
+  if (!node_.ledger_.open(request_.attempt, context.retries, arrival_.deadline, now)) {
+    return refuse(core::may_have_run(Cause::kDuplicate), now);
+  }
   if (node_.draining() && !at_most_once_) return refuse(core::not_run(Cause::kLeaving), now);
   if (node_.treatment(request_.fingerprint, now) == quarantine::Treatment::kHeld) {
     return refuse(core::not_run(Cause::kQuarantined), now);
@@ -127,13 +131,8 @@
   running->depth = arrival_.depth;
   running->at_most_once = at_most_once_;
   running->fingerprint = request_.fingerprint;
-  if (!node_.running_.add(running)) {
-    // A second delivery of an attempt that runs: the first one answers for it.
-    release_slot({.ok = false}, now, events);
-    return refuse(core::may_have_run(Cause::kDuplicate), now);
-  }
+  node_.running_.add(running);
   running_ = std::move(running);
-  node_.ledger_.open(request_.attempt, request_.context.retries, arrival_.deadline, now);
   state_ = State::kRunning;
   InboundStep step;
   step.kind = InboundKind::kRun;
--- a/src/damaskthread/engine/outbound_call.cc
+++ b/src/damaskthread/engine/outbound_call.cc
@@ -183,7 +183,11 @@
     return obtain_token(random, now);
   }
   const std::string& key = request_.context.call_key;
-  onward_key_ = key.empty() ? request_.fingerprint : execution::fingerprint(request_.service, "key", key, "");
+  // The parent's fingerprint tells calls with one key apart that different calls of the chain make; it stays the same
+  // when the parent runs again after "not run".
+  const std::string within = std::to_string(parent_->fingerprint);
+  onward_key_ = key.empty() ? execution::fingerprint(within, "call", std::to_string(request_.fingerprint), "")
+                            : execution::fingerprint(within, "key", request_.service, key);
   const execution::OnwardResult found =
       node_.onward_.find_or_reserve(root_, onward_key_, parent_->deadline + node_.options_.repeat_window, now);
   switch (found.onward) {
--- a/src/damaskthread/engine/running_table.cc
+++ b/src/damaskthread/engine/running_table.cc
@@ -66,10 +66,10 @@
   return shards_[std::hash<core::RequestKey>{}(key) % shards_.size()];
 }
 
-bool RunningTable::add(const std::shared_ptr<Running>& running) {
+void RunningTable::add(const std::shared_ptr<Running>& running) {
   Shard& shard = shard_of(running->key);
   const std::lock_guard lock(shard.mutex);
-  return shard.calls.emplace(running->key, running).second;
+  shard.calls.emplace(running->key, running);
 }
 
 void RunningTable::remove(core::RequestKey key) noexcept {
--- a/src/damaskthread/engine/running_table.h
+++ b/src/damaskthread/engine/running_table.h
@@ -70,9 +70,8 @@
 /// Sharded table of the running calls.
 class RunningTable {
  public:
-  /// @brief Adds a call.
-  /// @return False if the key is already there.
-  bool add(const std::shared_ptr<Running>& running);
+  /// @brief Adds a call under its key.
+  void add(const std::shared_ptr<Running>& running);
   void remove(core::RequestKey key) noexcept;
   [[nodiscard]] std::shared_ptr<Running> find(core::RequestKey key) const;
   /// @brief Fingerprints of all running calls.
--- a/src/damaskthread/membership/member_table.cc
+++ b/src/damaskthread/membership/member_table.cc
@@ -104,7 +104,8 @@
   if (found == by_address_.end() || found->second == delta.id) return;
   Entry* other = find(found->second);
   if (other == nullptr || other->health == Health::kDead) return;
-  update(*other, [&] { other->health = Health::kDead; }, now);
+  update(
+      *other, [&] { other->health = Health::kDead; }, now);
 }
 
 Merge MemberTable::insert(const wire::MemberDelta& delta, core::TimePoint now) {
--- a/src/damaskthread/membership/member_table.h
+++ b/src/damaskthread/membership/member_table.h
@@ -36,7 +36,7 @@
     bool leaving = false;
     core::TimePoint suspect_since{};  ///< In the time of the caller, with the age of the claim taken off.
     core::TimePoint dead_since{};
-    core::TimePoint known_since{};  ///< When this incarnation was first heard of.
+    core::TimePoint known_since{};        ///< When this incarnation was first heard of.
     std::optional<core::TimePoint> told;  ///< When it was last told that it is held suspect or dead.
   };
   struct RingPoint {
--- a/src/damaskthread/replication/replication.cc
+++ b/src/damaskthread/replication/replication.cc
@@ -125,7 +125,8 @@
   std::optional<std::string> records;
   if (!request.state) records = source_.records_since(request.offset, options_.records_bytes);
   const std::string& payload = records ? *records : cached_state();
-  const std::size_t parts = std::max<std::size_t>(1, (payload.size() + wire::kMaxChunkBytes - 1) / wire::kMaxChunkBytes);
+  const std::size_t parts =
+      std::max<std::size_t>(1, (payload.size() + wire::kMaxChunkBytes - 1) / wire::kMaxChunkBytes);
   if (request.part >= parts) return;
   ++counters_.requests_served;
   wire::Message message;
@@ -153,7 +154,8 @@
   }
   const bool first = chunk.part == 0;
   // The peer moved on between two parts, so that they belong to different payloads.
-  if (!first && (fetch_->reaches != chunk.reaches || fetch_->parts != chunk.parts || fetch_->request.state != chunk.state)) {
+  if (!first &&
+      (fetch_->reaches != chunk.reaches || fetch_->parts != chunk.parts || fetch_->request.state != chunk.state)) {
     fetch(from, fetch_->request.state, now, out);
     return;
   }
@@ -173,8 +175,9 @@
   const wire::ConfigDigest before = digest();
   // The log may have been polled meanwhile. A state of lower or equal revision is never applied; records apply only
   // where they continue.
-  const bool stale = done.request.state ? done.reaches->revision <= before.revision && done.reaches->offset <= before.offset
-                                        : done.request.offset != before.offset;
+  const bool stale = done.request.state
+                         ? done.reaches->revision <= before.revision && done.reaches->offset <= before.offset
+                         : done.request.offset != before.offset;
   if (stale || (done.request.state && done.reaches->revision < before.revision)) {
     ++counters_.stale_dropped;
     return;
@@ -184,7 +187,8 @@
   ++(moved ? counters_.transfers_applied : counters_.transfers_refused);
   const auto peer = peers_.find(done.peer);
   if (peer == peers_.end() || done.reaches->revision <= source_.revision()) return;
-  // More records follow if the last ones applied; if they did not, the state does not depend on where this daemon stands.
+  // More records follow if the last ones applied; if they did not, the state does not depend on where this daemon
+  // stands.
   if (moved) {
     fetch(done.peer, false, now, out);
   } else if (!done.request.state) {
@@ -193,8 +197,8 @@
 }
 
 void Replication::note_lag(core::ServerId id, Peer& peer, core::TimePoint now) {
-  const bool lags = peer.behind_since && now - peer.heard < options_.fresh &&
-                    now - *peer.behind_since >= options_.lag_after;
+  const bool lags =
+      peer.behind_since && now - peer.heard < options_.fresh && now - *peer.behind_since >= options_.lag_after;
   if (lags == peer.lag_noted || (!lags && peer.behind_since)) return;
   peer.lag_noted = lags;
   const core::Duration behind = lags ? now - *peer.behind_since : core::Duration{0};
--- a/src/damaskthread/wire/authenticator.cc
+++ b/src/damaskthread/wire/authenticator.cc
@@ -79,8 +79,8 @@
 }
 
 std::optional<OpenError> Authenticator::admit(const Sender& sender, std::uint64_t sequence) {
-  // Only holders of the key get here, so the table grows only with real servers. Past the bound an arbitrary entry goes;
-  // a replay that this lets through carries only claims that the counters of the members order anyway.
+  // Only holders of the key get here, so the table grows only with real servers. Past the bound an arbitrary entry
+  // goes; a replay that this lets through carries only claims that the counters of the members order anyway.
   if (seen_.size() >= kMaxSenders && !seen_.contains(sender.id)) seen_.erase(seen_.begin());
   Seen& seen = seen_[sender.id];
   if (sender.incarnation < seen.incarnation) return OpenError::kStale;
--- a/src/damaskthread/wire/codec.cc
+++ b/src/damaskthread/wire/codec.cc
@@ -138,8 +138,13 @@
   json operator()(const ConfigRequest& body) const { return Array{body.state ? 1U : 0U, body.offset, body.part}; }
   json operator()(const ConfigChunk& body) const {
     const auto* begin = reinterpret_cast<const std::uint8_t*>(body.bytes.data());
-    return Array{body.state ? 1U : 0U, body.reaches.revision, body.reaches.offset, body.from_offset, body.part,
-                 body.parts,           json::binary({begin, begin + body.bytes.size()})};
+    return Array{body.state ? 1U : 0U,
+                 body.reaches.revision,
+                 body.reaches.offset,
+                 body.from_offset,
+                 body.part,
+                 body.parts,
+                 json::binary({begin, begin + body.bytes.size()})};
   }
 };
 
@@ -230,9 +235,15 @@
 }
 
 // Indexed by the position of the type in Body, which is its number on the wire.
-constexpr std::array kDecoders = {&decode_ping,           &decode_ack,         &decode_ping_request,
-                                  &decode_gossip,         &decode_members_request, &decode_view_digest,
-                                  &decode_member_summary, &decode_member_state, &decode_config_request,
+constexpr std::array kDecoders = {&decode_ping,
+                                  &decode_ack,
+                                  &decode_ping_request,
+                                  &decode_gossip,
+                                  &decode_members_request,
+                                  &decode_view_digest,
+                                  &decode_member_summary,
+                                  &decode_member_state,
+                                  &decode_config_request,
                                   &decode_config_chunk};
 static_assert(kDecoders.size() == std::variant_size_v<Body>);
 
--- a/src/damaskthread/wire/message.h
+++ b/src/damaskthread/wire/message.h
@@ -80,7 +80,7 @@
 struct LagNote {
   core::ServerId id;
   core::Incarnation incarnation;
-  std::uint64_t revision = 0;         ///< In force there.
+  std::uint64_t revision = 0;           ///< In force there.
   std::chrono::milliseconds behind{0};  ///< How long it has been behind; zero once it has caught up.
   bool operator==(const LagNote&) const = default;
 };
@@ -124,8 +124,8 @@
 
 /// Members out of the sender's view, in the deltas. Not fresh news: a death in it is verified, not believed.
 struct MemberState {
-  bool all = false;                      ///< Part of the answer to a request for all members.
-  std::vector<core::ServerId> wanted;    ///< Members of the summary that the sender asks for in full.
+  bool all = false;                    ///< Part of the answer to a request for all members.
+  std::vector<core::ServerId> wanted;  ///< Members of the summary that the sender asks for in full.
 };
 
 /// Asks for configuration records after `offset`, or for the state.
@@ -138,8 +138,8 @@
 /// One part of an answer to ConfigRequest.
 struct ConfigChunk {
   bool state = false;
-  ConfigDigest reaches;            ///< What the sender held when it cut the parts.
-  std::uint64_t from_offset = 0;   ///< Of the request.
+  ConfigDigest reaches;           ///< What the sender held when it cut the parts.
+  std::uint64_t from_offset = 0;  ///< Of the request.
   std::uint32_t part = 0;
   std::uint32_t parts = 1;
   std::string bytes;
