--- a/test/support/policy_fixture.cc
+++ b/test/support/policy_fixture.cc
@@ -57,8 +57,8 @@
   std::size_t request = 0;
   const CallSpec* spec = nullptr;
   PolicyCall call;
-  bool started = false;
   bool in_slot = false;
+  bool ended = false;
   TimePoint start;
   TimePoint children_start;
   int children = 0;
@@ -119,11 +119,10 @@
   Fixture(const Deployment& deployment, const Scenario& scenario, Policy& policy)
       : deployment_(deployment), scenario_(scenario), policy_(policy), random_(scenario.seed) {
     for (std::size_t i = 0; i < deployment.services.size(); ++i) {
-      first_server_.push_back(static_cast<int>(servers_.size()));
       for (int k = 0; k < deployment.services[i].servers; ++k) servers_.emplace_back().service = static_cast<int>(i);
     }
     bins_.resize(static_cast<std::size_t>(scenario.end / kBin) + 1);
-    policy_.set_up(deployment, *this);
+    policy_.set_up(deployment, scenario, *this);
   }
 
   Result run() {
@@ -152,7 +151,6 @@
     if (attempt == nullptr) return;
     Server& server = servers_[static_cast<std::size_t>(attempt->call.server)];
     const ServiceSpec& service = deployment_.services[static_cast<std::size_t>(server.service)];
-    attempt->started = true;
     attempt->start = now_;
     if (server.down) return end_attempt(id, {.ok = false}, core::may_have_run(core::Cause::kConnection));
     if (server.busy < service.slots) return work(id);
@@ -363,7 +361,7 @@
 
   void work_done(std::uint64_t id) {
     Attempt* attempt = attempts_.find(id);
-    if (attempt == nullptr) return;
+    if (attempt == nullptr || attempt->ended) return;
     if (attempt->call.depth >= 1) attempt->deep_work += attempt->own_work;
     attempt->children_start = now_;
     attempt->children = static_cast<int>(attempt->spec->children.size());
@@ -388,7 +386,7 @@
 
   void child_done(std::uint64_t id, bool ok, double deep_work, core::Verdict verdict) {
     Attempt* attempt = attempts_.find(id);
-    if (attempt == nullptr) {
+    if (attempt == nullptr || attempt->ended) {
       wasted_work_ += deep_work;
       return;
     }
@@ -411,6 +409,7 @@
 
   void end_attempt(std::uint64_t id, const CallResult& result, core::Verdict verdict) {
     Attempt& attempt = *attempts_.find(id);
+    attempt.ended = true;
     attempt.failed = !result.ok;
     attempt.verdict = verdict;
     const PolicyCall call = attempt.call;
@@ -461,7 +460,7 @@
 
   void crash(std::uint64_t id) {
     const Attempt* cause = attempts_.find(id);
-    if (cause == nullptr) return;
+    if (cause == nullptr || cause->ended) return;
     const int index = cause->call.server;
     Server& server = servers_[static_cast<std::size_t>(index)];
     if (server.down) return;
@@ -541,7 +540,6 @@
   std::priority_queue<Event> events_;
   std::uint64_t sequence_ = 0;
   std::uint64_t event_count_ = 0;
-  std::vector<int> first_server_;
   std::vector<Server> servers_;
   std::deque<Request> requests_;
   Pool<Hop> hops_;
--- a/test/support/policy_fixture.h
+++ b/test/support/policy_fixture.h
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <queue>
@@ -135,10 +136,7 @@
 class Policy {
  public:
   virtual ~Policy() = default;
-  virtual void set_up(const Deployment& deployment, PolicyHost& host) {
-    deployment_ = &deployment;
-    host_ = &host;
-  }
+  virtual void set_up(const Deployment& deployment, const Scenario& scenario, PolicyHost& host);
   /// @return Whether calls carry the deadline of their request.
   [[nodiscard]] virtual bool carries_deadline() const { return false; }
   /// @brief Whether the entrance sends a request on.
@@ -161,8 +159,19 @@
   virtual void sent(const PolicyCall& /*call*/) {}
 
  protected:
+  /// @brief Index of the first server of a service; the servers of all services are numbered in order.
+  [[nodiscard]] int first_server(int service) const { return first_server_[static_cast<std::size_t>(service)]; }
+  [[nodiscard]] int server_count() const { return first_server_.back(); }
+  [[nodiscard]] const ServiceSpec& spec_of(int service) const {
+    return deployment_->services[static_cast<std::size_t>(service)];
+  }
+
   const Deployment* deployment_ = nullptr;
+  const Scenario* scenario_ = nullptr;
   PolicyHost* host_ = nullptr;
+
+ private:
+  std::vector<int> first_server_;
 };
 
 enum class PolicyKind { kNone, kFixed, kAdaptive, kDamaskthread };
