Refuse nothing at a server that is less than half busy

Cause: an archive server at 2.6 % of its slots had no capacity estimate yet and refused all of its arrivals. Change: the threshold control asks for a utilization of 0.5 or a queue before it refuses anything.

--- a/src/damaskthread/admission/internal/threshold_control.cc
+++ b/src/damaskthread/admission/internal/threshold_control.cc
@@ -14,6 +14,8 @@
 constexpr double kPriorBuckets = 16;
 // Share of its estimate that a class keeps per window while none of it can be seen.
 constexpr double kUnseenDecay = 0.9;
+// A server less busy than this and without a queue refuses nothing; its capacity may not be known yet.
+constexpr double kBusy = 0.5;
 // Queue aimed at, as a share of what is completed in a window: 15 ms of work bridges the gaps between arrivals.
 constexpr double kQueueTarget = 0.15;
 // The budget is never below this share of capacity, however long the queue is.
@@ -81,7 +83,8 @@
   if (utilization_ > 0.02 && completions_ > 0) capacity_ = completions_ / utilization_;
 
   const double correction = kQueueTarget * capacity_ - sample.queued;
-  int next = choose(std::max(kMinBudget * capacity_, capacity_ + correction));
+  const bool busy = sample.utilization >= kBusy || sample.queued > 0;
+  int next = busy ? choose(std::max(kMinBudget * capacity_, capacity_ + correction)) : 0;
   const int lowest = lowest_seen();
   const int current = threshold().value;
   if (next < std::min(current, lowest)) {
