--- a/src/damaskthread/metrics/registry.cc
+++ b/src/damaskthread/metrics/registry.cc
@@ -42,7 +42,7 @@
     if (!is_name(name, false) || name == "quantile") throw std::invalid_argument("invalid label name: " + name);
     if (!out.empty()) out += ',';
     out += name + "=\"";
-    append_escaped(out, overflow ? "other" : std::string_view(value).substr(0, kMaxLabelValueLength), true);
+    append_escaped(out, overflow ? "other" : std::string_view{value}.substr(0, kMaxLabelValueLength), true);
     out += '"';
   }
   return out;
--- a/test/damaskthread/metrics/metrics_test.cc
+++ b/test/damaskthread/metrics/metrics_test.cc
@@ -26,6 +26,7 @@
 TEST_CASE("a counter counts from every thread") {
   Counter counter;
   std::vector<std::jthread> threads;
+  threads.reserve(8);
   for (int i = 0; i < 8; ++i) {
     threads.emplace_back([&counter] {
       for (int j = 0; j < 10'000; ++j) counter.count();
@@ -56,6 +57,7 @@
   Quantiles quantiles;
   std::vector<std::vector<double>> samples(4);
   std::vector<std::jthread> threads;
+  threads.reserve(samples.size());
   for (std::size_t t = 0; t < samples.size(); ++t) {
     threads.emplace_back([&quantiles, &mine = samples[t], t] {
       std::mt19937_64 random(7 + t);
