--- a/benchmark/policy.cc
+++ b/benchmark/policy.cc
@@ -18,8 +18,8 @@
 
 struct Line {
   std::string name;
-  double Result::* value = nullptr;
-  int Result::* count = nullptr;
+  double Result::*value = nullptr;
+  int Result::*count = nullptr;
 };
 
 struct Job {
--- a/test/support/deployments.cc
+++ b/test/support/deployments.cc
@@ -34,7 +34,11 @@
   const CallSpec documents{kDocuments, 40, {}};
   return {"birchrun",
           {{"fleet", 5, 70, 530}, {"booking", 4, 80, 570}, {"documents", 3, 100, 720}, {"pricing", 3, 35, 300}},
-          {{"book", Importance::kCritical, 0.12, milliseconds{2000}, milliseconds{1000},
+          {{"book",
+            Importance::kCritical,
+            0.12,
+            milliseconds{2000},
+            milliseconds{1000},
             {kBooking, 40, {fleet, documents}}},
            {"counter-lookup", Importance::kHigh, 0.23, milliseconds{1000}, milliseconds{500}, fleet},
            {"lookup", Importance::kNormal, 0.45, milliseconds{1000}, milliseconds{500}, fleet},
@@ -52,17 +56,17 @@
   const CallSpec stock{kStock, 60, {}};
   const CallSpec berth{kBerth, 40, {stock}};
   const CallSpec archive{kArchive, 40, {}};
-  return {"lindqvist",
-          {{"berth", 6, 55, 440}, {"orders", 4, 85, 610}, {"archive", 3, 110, 780}, {"stock", 3, 35, 300}},
-          {{"order", Importance::kCritical, 0.07, milliseconds{2000}, milliseconds{1000},
-            {kOrders, 40, {berth, archive}}},
-           {"berth-schedule", Importance::kCritical, 0.05, milliseconds{2000}, milliseconds{1000}, berth},
-           {"sales-stock", Importance::kHigh, 0.23, milliseconds{1000}, milliseconds{500}, stock},
-           {"stock", Importance::kNormal, 0.45, milliseconds{1000}, milliseconds{500}, stock},
-           {"archive", Importance::kSheddable, 0.20, milliseconds{1000}, milliseconds{500}, archive}},
-          kStock,
-          microseconds{500},
-          milliseconds{3}};
+  return {
+      "lindqvist",
+      {{"berth", 6, 55, 440}, {"orders", 4, 85, 610}, {"archive", 3, 110, 780}, {"stock", 3, 35, 300}},
+      {{"order", Importance::kCritical, 0.07, milliseconds{2000}, milliseconds{1000}, {kOrders, 40, {berth, archive}}},
+       {"berth-schedule", Importance::kCritical, 0.05, milliseconds{2000}, milliseconds{1000}, berth},
+       {"sales-stock", Importance::kHigh, 0.23, milliseconds{1000}, milliseconds{500}, stock},
+       {"stock", Importance::kNormal, 0.45, milliseconds{1000}, milliseconds{500}, stock},
+       {"archive", Importance::kSheddable, 0.20, milliseconds{1000}, milliseconds{500}, archive}},
+      kStock,
+      microseconds{500},
+      milliseconds{3}};
 }
 
 double capacity(const Deployment& deployment) {
--- a/test/support/policy_fixture.h
+++ b/test/support/policy_fixture.h
@@ -152,8 +152,8 @@
   /// @return The level that a server puts on its answers.
   [[nodiscard]] virtual admission::Level level(int /*server*/) { return {}; }
   /// @brief An answer with the highest level of its subtree reaches the sending daemon.
-  virtual void answered(const PolicyCall& /*call*/, admission::Level /*level*/, core::Verdict /*verdict*/, bool /*ok*/) {
-  }
+  virtual void answered(const PolicyCall& /*call*/, admission::Level /*level*/, core::Verdict /*verdict*/,
+                        bool /*ok*/) {}
   /// @brief Whether a failed call is tried again at this hop.
   [[nodiscard]] virtual bool retry(const PolicyCall& /*call*/, core::Verdict /*verdict*/) { return false; }
   virtual void sent(const PolicyCall& /*call*/) {}
