Let the threshold move freely once it is inside the critical class

Cause: without lost critical calls in 3 windows the threshold fell back to the floor of the critical class, so that in the combined fault, where critical calls alone exceed capacity, it swung and a fifth of admitted bookings failed deep. Change: lost critical calls are asked for only when the threshold enters the class.

--- a/src/damaskthread/admission/internal/threshold_control.cc
+++ b/src/damaskthread/admission/internal/threshold_control.cc
@@ -24,7 +24,7 @@
 // only drift; the step doubles each window so that a released overload clears in a few windows.
 constexpr int kFirstStep = 64;
 constexpr int kCriticalFloor = static_cast<int>(core::Importance::kCritical) * kBucketCount;
-// Windows for which lost critical calls allow a threshold inside the critical class.
+// Windows for which lost critical calls allow the threshold to enter the critical class; an estimate alone does not.
 constexpr int kCriticalMemory = 3;
 
 }  // namespace
@@ -93,7 +93,7 @@
   } else {
     step_ = 0;
   }
-  if (critical_lost_windows_ == 0) next = std::min(next, kCriticalFloor);
+  if (critical_lost_windows_ == 0 && current <= kCriticalFloor) next = std::min(next, kCriticalFloor);
   next = std::clamp(next, 0, kLevelCount - 1);
   std::rotate(history_.rbegin(), history_.rbegin() + 1, history_.rend());
   history_[0] = Level{static_cast<std::uint16_t>(next)};
