--- a/test/standin/backend_server/main.cc
+++ b/test/standin/backend_server/main.cc
@@ -97,7 +97,7 @@
   State state(std::move(options));
   cxxtools::EventLoop loop;
   BackendService service(state);
-  cxxtools::http::Server server(loop, "127.0.0.1", static_cast<unsigned short>(port));
+  cxxtools::http::Server server(loop, "127.0.0.1", static_cast<std::uint16_t>(port));
   const int connections = absl::GetFlag(FLAGS_connections);
   server.minThreads(4);
   server.maxThreads(static_cast<unsigned>(connections > 0 ? std::min(connections, 4096) : 4 * slots + 16));
--- a/test/support/http_caller.cc
+++ b/test/support/http_caller.cc
@@ -29,7 +29,7 @@
 }
 
 // Waits for an event in steps, so that `stop` is asked.
-bool wait(int socket, short events, const HttpCall& request, std::chrono::steady_clock::time_point deadline,
+bool wait(int socket, std::int16_t events, const HttpCall& request, std::chrono::steady_clock::time_point deadline,
           HttpAnswer& answer) {
   for (;;) {
     const auto now = std::chrono::steady_clock::now();
--- a/test/support/http_caller.h
+++ b/test/support/http_caller.h
@@ -41,11 +41,11 @@
 struct HttpCall {
   std::string method = "GET";
   std::string target = "/";
-  Headers headers;
-  std::string body;
+  Headers headers{};
+  std::string body{};
   std::chrono::milliseconds timeout{10'000};
   /// Asked at least every 50 ms while waiting; true ends the call.
-  std::function<bool()> stop;
+  std::function<bool()> stop{};
 };
 
 /// One keep-alive connection; used by one thread at a time.
