Add the daemon: ports, control side, graceful stop; first tests over processes

Cause: the core has to run as separate processes that answer real calls. A crash is announced at once to the servers of the same service, and the crashed call is answered 50 ms later: before that, 40 quick repeats through 5 daemons crashed 5 servers, because the news travelled with the next gossip period.

--- a/src/damaskthread/context/call_context.cc
+++ b/src/damaskthread/context/call_context.cc
@@ -210,7 +210,7 @@
   constexpr std::string_view kStart = "/svc/";
   if (target.compare(0, kStart.size(), kStart) != 0) return {};
   const std::size_t end = target.find_first_of("/?", kStart.size());
-  const std::string name = target.substr(kStart.size(), end == std::string::npos ? end : end - kStart.size());
+  std::string name = target.substr(kStart.size(), end == std::string::npos ? end : end - kStart.size());
   if (!is_service_name(name)) return {};
   std::string rest = end == std::string::npos ? "/" : target.substr(end);
   if (rest.front() == '?') rest.insert(rest.begin(), '/');
--- /dev/null
+++ b/src/damaskthread/daemon/admin_api.h
@@ -0,0 +1,50 @@
+#ifndef DAMASKTHREAD_DAEMON_ADMIN_API_H_
+#define DAMASKTHREAD_DAEMON_ADMIN_API_H_
+
+/// @file
+/// @brief The admin port: resource API, status, metrics, health and the burn report.
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "damaskthread/daemon/control_plane.h"
+#include "damaskthread/http/message.h"
+#include "damaskthread/http/server.h"
+#include "damaskthread/resource/api_handler.h"
+#include "damaskthread/settings/settings.h"
+
+namespace damaskthread::daemon {
+
+/// Pages that other parts of the daemon provide.
+struct AdminPages {
+  std::function<std::string()> metrics;
+  std::function<std::string()> status;
+  /// Burn report over all daemons that can be reached; the argument chooses HTML instead of JSON.
+  std::function<std::string(bool html)> report;
+  /// Burn figures of this daemon alone, for other daemons.
+  std::function<std::string()> burn;
+};
+
+/// Handlers run on the threads of the admin server.
+class AdminApi {
+ public:
+  AdminApi(const settings::Settings& settings, ControlPlane& control, AdminPages pages);
+
+  [[nodiscard]] http::Response handle(http::Request&& request, const http::Arrival& arrival);
+
+ private:
+  [[nodiscard]] http::Response handle_resource(http::Request&& request, std::string_view path, std::string_view query,
+                                               const settings::Operator& user, http::Cancellation& caller_gone);
+  [[nodiscard]] resource::ApiResponse carry_out(const resource::AppendStep& step, http::Cancellation& caller_gone);
+  [[nodiscard]] resource::ApiResponse carry_out(const resource::WatchStep& step, http::Cancellation& caller_gone);
+
+  const settings::Settings& settings_;
+  ControlPlane& control_;
+  AdminPages pages_;
+  resource::ApiHandler resources_;
+};
+
+}  // namespace damaskthread::daemon
+
+#endif  // DAMASKTHREAD_DAEMON_ADMIN_API_H_
--- /dev/null
+++ b/src/damaskthread/daemon/control_plane.cc
@@ -0,0 +1,447 @@
+#include "damaskthread/daemon/control_plane.h"
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+#include <chrono>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "damaskthread/daemon/log.h"
+
+namespace damaskthread::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Clock = std::chrono::steady_clock;
+
+constexpr milliseconds kTickPeriod{100};
+constexpr milliseconds kLogPeriod{500};
+// Routers age their statistics by this refresh; membership changes are taken over at once.
+constexpr seconds kViewRefresh{1};
+constexpr std::size_t kReadBatch = 500;
+// An announcement lets new daemons find a first contact; repeated well within a day of retention.
+constexpr std::chrono::minutes kAnnouncePeriod{30};
+constexpr seconds kAnnounceRetry{5};
+// Time alone in a gap of the log after which what is still kept is taken as it is.
+constexpr seconds kAcceptGapAfter{10};
+
+constexpr std::size_t kMarksPerMessage = (wire::kMaxDatagramBytes - wire::kEnvelopeBytes) / wire::kMarkBytes;
+
+std::string address_text(const std::string& ip, std::uint16_t port) { return http::to_string({ip, port}); }
+
+wire::MemberInfo describe_self(const settings::Settings& settings) {
+  const std::string& ip = settings.advertised_ip;
+  return {settings.service,
+          settings.zone,
+          settings.region,
+          address_text(ip, settings.listen.call_port),
+          address_text(ip, settings.listen.peer_port),
+          address_text(ip, settings.listen.admin_port),
+          address_text(ip, settings.listen.control_port),
+          settings.slots,
+          settings.connections};
+}
+
+std::vector<std::string> seed_addresses(const settings::Settings& settings) {
+  std::vector<std::string> seeds;
+  for (const auto& seed : settings.seeds) seeds.push_back(settings::to_string(seed));
+  return seeds;
+}
+
+std::string key_text(const settings::Settings& settings) {
+  const auto bytes = settings.shared_key.reveal();
+  return {bytes.begin(), bytes.end()};
+}
+
+// One accusation is one gossiped mark: `origin` names the crash, and `crashes` rises from accused to cleared.
+constexpr std::uint32_t kAccused = 1;
+constexpr std::uint32_t kCleared = 2;
+
+std::vector<wire::CrashMark> to_wire(const std::vector<quarantine::CrashMark>& marks) {
+  std::vector<wire::CrashMark> result;
+  for (const quarantine::CrashMark& mark : marks) {
+    for (const auto& accusation : mark.accusations) {
+      if (accusation.crash.value == 0) continue;
+      result.push_back({mark.fingerprint,
+                        accusation.cleared ? kCleared : kAccused,
+                        {accusation.crash.value},
+                        std::chrono::duration_cast<milliseconds>(accusation.age)});
+    }
+  }
+  return result;
+}
+
+std::vector<quarantine::CrashMark> from_wire(const std::vector<wire::CrashMark>& marks) {
+  std::vector<quarantine::CrashMark> result;
+  for (const wire::CrashMark& mark : marks) {
+    quarantine::CrashMark converted;
+    converted.fingerprint = mark.fingerprint;
+    converted.accusations[0] = {{mark.origin.value}, mark.age, mark.crashes >= kCleared};
+    result.push_back(converted);
+  }
+  return result;
+}
+
+}  // namespace
+
+// Lets the replication of configuration work on the resource store.
+class ControlPlane::Sink final : public replication::ConfigSource, public replication::ConfigSink {
+ public:
+  explicit Sink(resource::ResourceStore& store) : store_(store) {}
+  [[nodiscard]] std::uint64_t revision() const override { return store_.revision(); }
+  [[nodiscard]] std::uint64_t offset() const override { return store_.offset(); }
+  [[nodiscard]] std::optional<std::string> records_since(std::uint64_t offset, std::size_t max_bytes) const override {
+    return store_.records_since(offset, max_bytes);
+  }
+  [[nodiscard]] std::string state() const override { return store_.state(); }
+  bool apply_records(std::string_view bytes) override { return store_.apply_records(bytes, Clock::now()); }
+  bool apply_state(std::string_view bytes) override { return store_.apply_state(bytes); }
+
+ private:
+  resource::ResourceStore& store_;
+};
+
+ControlPlane::ControlPlane(const settings::Settings& settings, core::Incarnation incarnation, engine::Node& node,
+                           Directory& directory)
+    : settings_(settings),
+      node_(node),
+      directory_(directory),
+      random_(std::random_device{}()),
+      sink_(std::make_unique<Sink>(store_)),
+      authenticator_(key_text(settings), {settings.server_id, incarnation}),
+      membership_({settings.server_id, incarnation}, describe_self(settings), seed_addresses(settings)),
+      replication_(settings.server_id, *sink_, *sink_) {
+  for (const auto& endpoint : settings.log_service) {
+    logs_.emplace_back(platform::LogClientOptions{.ip = endpoint.host, .port = endpoint.port});
+  }
+  transport::ControlSocket::Options options;
+  options.listen_address = address_text(settings.listen.address, settings.listen.control_port);
+  socket_ = std::make_unique<transport::ControlSocket>(options, [this](std::string_view bytes) { receive(bytes); });
+  refresh_view(Clock::now());
+  timer_ = std::thread([this] { run_timer(); });
+  if (!logs_.empty()) log_ = std::thread([this] { run_log(); });
+}
+
+ControlPlane::~ControlPlane() {
+  stopping_ = true;
+  wake_.notify_all();
+  timer_.join();
+  if (log_.joinable()) log_.join();
+  socket_.reset();
+}
+
+void ControlPlane::announce_leaving() {
+  const std::lock_guard lock(mutex_);
+  membership_.announce_leaving();
+}
+
+void ControlPlane::notify_crash() {
+  const auto now = Clock::now();
+  const std::lock_guard lock(mutex_);
+  const std::vector<wire::CrashMark> marks = to_wire(node_.crash_news(now));
+  membership_.spread(marks, now);
+  std::vector<wire::Outgoing> messages;
+  for (const membership::Member& member : membership_.members()) {
+    if (member.id == settings_.server_id || member.state == membership::State::kDead) continue;
+    if (member.info->service != settings_.service) continue;
+    for (std::size_t first = 0; first < marks.size(); first += kMarksPerMessage) {
+      wire::Message message;
+      const std::size_t last = std::min(first + kMarksPerMessage, marks.size());
+      message.marks.assign(marks.begin() + static_cast<std::ptrdiff_t>(first),
+                           marks.begin() + static_cast<std::ptrdiff_t>(last));
+      messages.push_back({member.info->control_address, std::move(message)});
+    }
+  }
+  send(messages);
+}
+
+void ControlPlane::receive(std::string_view bytes) {
+  const auto now = Clock::now();
+  const std::lock_guard lock(mutex_);
+  auto opened = authenticator_.open(bytes);
+  if (std::holds_alternative<wire::OpenError>(opened)) return;
+  const auto& received = std::get<wire::Received>(opened);
+  send(membership_.receive(received.sender, received.message, now));
+  send(replication_.receive(received.sender, received.message, now));
+  node_.merge_crash_marks(from_wire(membership_.take_marks()), now);
+  refresh_configuration();
+}
+
+void ControlPlane::send(const std::vector<wire::Outgoing>& messages) {
+  for (const wire::Outgoing& outgoing : messages) {
+    socket_->send(outgoing.address, authenticator_.seal(outgoing.message));
+  }
+}
+
+void ControlPlane::run_timer() {
+  auto next = Clock::now();
+  while (!stopping_) {
+    tick(Clock::now());
+    next = std::max(next + kTickPeriod, Clock::now());
+    std::unique_lock lock(wake_mutex_);
+    wake_.wait_until(lock, next, [this] { return stopping_.load(); });
+  }
+}
+
+void ControlPlane::tick(core::TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  send(membership_.tick(now, random_));
+  if (membership_.version() != view_version_ || now - view_refreshed_ >= kViewRefresh) refresh_view(now);
+  send(replication_.tick(now, random_));
+  membership_.spread(replication_.take_lag_notes(), now);
+  membership_.set_digest(replication_.digest());
+  exchange_crash_marks(now);
+  refresh_configuration();
+  log_wanted_ = replication_.polls_log() || !membership_.joined();
+}
+
+void ControlPlane::exchange_crash_marks(core::TimePoint now) {
+  const std::vector<quarantine::CrashMark> news = node_.crash_news(now);
+  if (!news.empty()) membership_.spread(to_wire(news), now);
+}
+
+void ControlPlane::refresh_view(core::TimePoint now) {
+  const std::vector<membership::Member> members = membership_.members();
+  if (membership_.version() != view_version_) replication_.set_view(members, now);
+  view_version_ = membership_.version();
+  view_refreshed_ = now;
+  std::map<std::string, std::vector<routing::ServerInfo>> services;
+  std::vector<DirectoryEntry> entries;
+  routing::CallerCounts callers;
+  // A service whose last server has gone still has to be told so.
+  for (const std::string& name : node_.service_names()) services[name];
+  for (const membership::Member& member : members) {
+    if (member.state == membership::State::kDead) continue;
+    const wire::MemberInfo& info = *member.info;
+    ++callers.all;
+    if (info.region == settings_.region) ++callers.region;
+    if (info.zone == settings_.zone) ++callers.zone;
+    DirectoryEntry entry{member.id, info.service, {}, {}};
+    if (!http::parse_endpoint(info.peer_address, entry.peer)) continue;
+    if (!http::parse_endpoint(info.admin_address, entry.admin)) continue;
+    entries.push_back(entry);
+    services[info.service].push_back({.id = member.id,
+                                      .incarnation = member.incarnation,
+                                      .zone = zone_number(info.zone),
+                                      .region = zone_number(info.region),
+                                      .slots = static_cast<int>(info.slots),
+                                      .connections = static_cast<int>(info.connections),
+                                      .leaving = member.state == membership::State::kLeaving,
+                                      .suspect = member.state == membership::State::kSuspect});
+  }
+  directory_.replace(std::move(entries));
+  for (const auto& [name, servers] : services) node_.set_servers(name, servers, callers, now);
+}
+
+void ControlPlane::refresh_configuration() {
+  const std::uint64_t revision = store_.revision();
+  if (revision == revision_in_force_) return;
+  revision_in_force_ = revision;
+  node_.set_services(store_.table());
+  LOG4CPLUS_INFO(logger(), "configuration revision " << revision << " is in force");
+}
+
+AppendOutcome ControlPlane::append(const std::string& record) {
+  AppendOutcome outcome{AppendOutcome::State::kRefused, "no log service is configured"};
+  for (const platform::LogClient& log : logs_) {
+    outcome = boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<AppendOutcome> {
+          BOOST_LEAF_CHECK(log.append(record));
+          return AppendOutcome{AppendOutcome::State::kTaken, ""};
+        },
+        [](const core::Error& error) {
+          const bool unknown = error.code == core::ErrorCode::kUnknown;
+          return AppendOutcome{unknown ? AppendOutcome::State::kUnknown : AppendOutcome::State::kRefused,
+                               error.message};
+        },
+        [] {
+          return AppendOutcome{AppendOutcome::State::kUnknown, "unexpected error"};
+        });
+    if (outcome.state != AppendOutcome::State::kRefused) break;
+  }
+  if (outcome.state != AppendOutcome::State::kRefused) read_log_soon();
+  return outcome;
+}
+
+void ControlPlane::read_log_soon() {
+  {
+    const std::lock_guard lock(wake_mutex_);
+    read_soon_ = true;
+  }
+  wake_.notify_all();
+}
+
+void ControlPlane::run_log() {
+  auto alone_in_gap_since = core::TimePoint::max();
+  while (!stopping_) {
+    bool wanted = log_wanted_;
+    {
+      std::unique_lock lock(wake_mutex_);
+      wanted = wanted || std::exchange(read_soon_, false);
+    }
+    if (wanted) {
+      while (!stopping_ && poll_log()) {
+      }
+      const auto now = Clock::now();
+      bool alone = false;
+      {
+        const std::lock_guard lock(mutex_);
+        alone = membership_.living() == 0;
+      }
+      const bool gap = alone && store_.condition() == resource::LogCondition::kGap;
+      alone_in_gap_since = gap ? std::min(alone_in_gap_since, now) : core::TimePoint::max();
+      if (gap && now - alone_in_gap_since >= kAcceptGapAfter) store_.accept_gap();
+      write_snapshot();
+    }
+    announce();
+    std::unique_lock lock(wake_mutex_);
+    wake_.wait_for(lock, kLogPeriod, [this] { return stopping_.load() || read_soon_; });
+  }
+}
+
+// Reads one batch; returns whether there may be more.
+bool ControlPlane::poll_log() {
+  for (const platform::LogClient& log : logs_) {
+    const std::optional<resource::LogSlice> slice = boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::optional<resource::LogSlice>> {
+          BOOST_LEAF_AUTO(read, log.read(store_.read_from(), kReadBatch));
+          return std::optional(std::move(read));
+        },
+        [] { return std::optional<resource::LogSlice>(); });
+    if (!slice) continue;
+    if (!log_reachable_.exchange(true)) LOG4CPLUS_INFO(logger(), "the log service is reachable");
+    const std::lock_guard lock(mutex_);
+    const auto before = store_.condition();
+    const auto condition = store_.apply(*slice, Clock::now());
+    if (condition != before && condition == resource::LogCondition::kRegressed) {
+      LOG4CPLUS_WARN(logger(), "the log ends below the offset in force; the configuration in force is kept");
+    }
+    if (!membership_.joined()) {
+      std::vector<std::string> seeds;
+      const std::string own = describe_self(settings_).control_address;
+      for (const resource::Announcement& announcement : store_.announcements()) {
+        const auto body = nlohmann::json::parse(announcement.body, nullptr, false);
+        if (!body.is_object() || !body.contains("control") || !body["control"].is_string()) continue;
+        if (body["control"] != own) seeds.push_back(body["control"]);
+      }
+      membership_.add_seeds(std::move(seeds));
+    }
+    refresh_configuration();
+    return slice->entries.size() >= kReadBatch;
+  }
+  if (log_reachable_.exchange(false)) {
+    LOG4CPLUS_WARN(logger(), "the log service cannot be reached; the configuration in force is kept");
+  }
+  return false;
+}
+
+void ControlPlane::write_snapshot() {
+  std::vector<std::string> records;
+  {
+    const std::lock_guard lock(mutex_);
+    if (!replication_.polls_log() || !store_.snapshot_due(Clock::now(), random_)) return;
+    const std::string id = "snapshot-" + std::to_string(random_());
+    records = store_.snapshot_records(settings_.server_name, id);
+  }
+  for (const std::string& record : records) {
+    if (append(record).state == AppendOutcome::State::kRefused) return;
+  }
+}
+
+void ControlPlane::announce() {
+  const auto now = Clock::now();
+  if (announced_ && now < announce_at_) return;
+  const nlohmann::json body = {{"control", describe_self(settings_).control_address}, {"service", settings_.service}};
+  const std::optional<std::string> record =
+      resource::encode({.operation = resource::RecordOperation::kAnnounce,
+                        .kind = "Daemon",
+                        .name = settings_.server_name,
+                        .operation_id = "announce-" + std::to_string(settings_.server_id.value) + "-" +
+                                        std::to_string(now.time_since_epoch().count()),
+                        .author = settings_.server_name,
+                        .body = body.dump()});
+  if (!record) return;
+  const bool taken = append(*record).state == AppendOutcome::State::kTaken;
+  announced_ = true;
+  announce_at_ = now + (taken ? core::Duration(kAnnouncePeriod) : core::Duration(kAnnounceRetry));
+}
+
+std::string ControlPlane::status_json() const {
+  const auto now = Clock::now();
+  nlohmann::json status;
+  const std::lock_guard lock(mutex_);
+  status["server"] = settings_.server_name;
+  status["service"] = settings_.service;
+  status["revision"] = store_.revision();
+  status["offset"] = store_.offset();
+  status["log"] = logs_.empty() ? "none" : (log_reachable_ ? "reachable" : "unreachable");
+  status["joined"] = membership_.joined();
+  std::map<core::ServerId, std::string> names;
+  status["members"] = nlohmann::json::array();
+  for (const membership::Member& member : membership_.members()) {
+    const std::string name = member.info->service + "@" + member.info->call_address;
+    names[member.id] = name;
+    status["members"].push_back({{"name", name},
+                                 {"service", member.info->service},
+                                 {"zone", member.info->zone},
+                                 {"region", member.info->region},
+                                 {"call", member.info->call_address},
+                                 {"admin", member.info->admin_address},
+                                 {"state", membership::to_string(member.state)}});
+  }
+  std::uint64_t slowest = store_.revision();
+  status["lagging"] = nlohmann::json::array();
+  status["unknown"] = nlohmann::json::array();
+  for (const replication::PeerConfig& peer : replication_.peers(now)) {
+    const std::string name = names.contains(peer.id) ? names[peer.id] : std::to_string(peer.id.value);
+    if (!peer.digest) {
+      status["unknown"].push_back(name);
+      continue;
+    }
+    slowest = std::min(slowest, peer.digest->revision);
+  }
+  for (const wire::LagNote& note : membership_.lagging(now)) {
+    slowest = std::min(slowest, note.revision);
+    status["lagging"].push_back({{"name", names.contains(note.id) ? names[note.id] : std::to_string(note.id.value)},
+                                 {"revision", note.revision},
+                                 {"behind_ms", note.behind.count()}});
+  }
+  status["slowest_revision"] = slowest;
+  status["resources"] = nlohmann::json::array();
+  for (const resource::ResourceView& view : store_.list()) {
+    status["resources"].push_back({{"kind", view.kind},
+                                   {"name", view.name},
+                                   {"desired_version", view.version},
+                                   {"in_force_everywhere", slowest >= view.version && status["unknown"].empty()},
+                                   {"author", view.author}});
+  }
+  return status.dump();
+}
+
+std::vector<std::pair<std::string, double>> ControlPlane::counters() const {
+  const std::lock_guard lock(mutex_);
+  const auto& members = membership_.counters();
+  const auto store = store_.counters();
+  const auto socket = socket_->counters();
+  std::vector<std::pair<std::string, double>> result = {
+      {"control_sent_bytes", socket.sent_bytes},    {"control_received_bytes", socket.received_bytes},
+      {"control_dropped", socket.dropped},          {"control_opened", authenticator_.counters().opened},
+      {"members_living", membership_.living() + 1}, {"membership_suspicions", members.suspicions},
+      {"membership_deaths", members.deaths},        {"membership_refutations", members.refutations},
+      {"membership_pauses", members.pauses},        {"configuration_revision", store_.revision()},
+      {"configuration_accepted", store.accepted},   {"configuration_conflicts", store.conflicts},
+      {"configuration_skipped", store.skipped},     {"configuration_regressions", store.regressions},
+      {"log_reachable", log_reachable_ ? 1 : 0},
+  };
+  for (std::size_t i = 0; i < wire::kOpenErrorCount; ++i) {
+    std::string name = "control_rejected_" + std::string(wire::to_string(static_cast<wire::OpenError>(i)));
+    std::replace(name.begin(), name.end(), '-', '_');
+    result.emplace_back(std::move(name), authenticator_.counters().dropped[i]);
+  }
+  return result;
+}
+
+}  // namespace damaskthread::daemon
--- /dev/null
+++ b/src/damaskthread/daemon/data_plane.cc
@@ -0,0 +1,426 @@
+#include "damaskthread/daemon/data_plane.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <chrono>
+#include <thread>
+#include <utility>
+
+#include "damaskthread/context/call_context.h"
+#include "damaskthread/core/error.h"
+#include "damaskthread/daemon/log.h"
+#include "damaskthread/execution/token.h"
+#include "damaskthread/http/socket_stream.h"
+
+namespace damaskthread::daemon {
+namespace {
+
+using core::Cause;
+using core::Execution;
+using Clock = std::chrono::steady_clock;
+
+constexpr core::Duration kWaitSlice = std::chrono::milliseconds(5);
+constexpr core::Duration kCrashNewsTime = std::chrono::milliseconds(50);
+constexpr core::Duration kCrashProbeTimeout = std::chrono::milliseconds(200);
+constexpr core::Duration kAskTimeout = std::chrono::milliseconds(500);
+
+core::Random& thread_random() {
+  thread_local core::Random random(std::random_device{}());
+  return random;
+}
+
+class Counted {
+ public:
+  explicit Counted(std::atomic<int>& counter) : counter_(counter) { ++counter_; }
+  ~Counted() { --counter_; }
+  Counted(const Counted&) = delete;
+  Counted& operator=(const Counted&) = delete;
+
+ private:
+  std::atomic<int>& counter_;
+};
+
+// Ends a child call when the parent's caller has gone, for as long as the child runs.
+class ParentWatch {
+ public:
+  ParentWatch(const std::shared_ptr<engine::Running>& parent, http::Cancellation& cancellation) : parent_(parent) {
+    if (parent_) number_ = parent_->on_cancel([&cancellation] { cancellation.cancel(); });
+  }
+  ~ParentWatch() {
+    if (parent_) parent_->remove_cancel(number_);
+  }
+  ParentWatch(const ParentWatch&) = delete;
+  ParentWatch& operator=(const ParentWatch&) = delete;
+
+ private:
+  std::shared_ptr<engine::Running> parent_;
+  std::uint64_t number_ = 0;
+};
+
+struct ParsedContext {
+  std::optional<context::CallContext> context;
+  core::Error error;
+};
+
+ParsedContext parse_context(const http::Headers& headers) {
+  std::vector<context::HeaderView> views;
+  views.reserve(headers.size());
+  for (const http::Header& header : headers) views.push_back({header.name, header.value});
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<ParsedContext> {
+        BOOST_LEAF_AUTO(parsed, context::parse(views));
+        return ParsedContext{std::move(parsed), {}};
+      },
+      [](const core::Error& error) {
+        return ParsedContext{std::nullopt, error};
+      },
+      [] {
+        return ParsedContext{std::nullopt, {core::ErrorCode::kInvalidInput, "Damask-*", "malformed"}};
+      });
+}
+
+http::Response refusal(const core::Verdict& verdict, std::string_view detail = {}) {
+  http::Response response;
+  response.status = core::http_status(verdict);
+  response.headers.push_back({"Content-Type", "text/plain"});
+  append_verdict(verdict, response.headers);
+  response.body = std::string(core::to_string(verdict.execution)) + ": " + std::string(core::to_string(verdict.cause));
+  if (!detail.empty()) response.body += ": " + std::string(detail);
+  response.body += "\n";
+  return response;
+}
+
+// Replaces the context that arrived by the one to pass on.
+void replace_context(const context::CallContext& context, http::Headers& headers) {
+  std::erase_if(headers, [](const http::Header& header) { return context::is_context_header(header.name); });
+  context::HeaderPairs pairs;
+  context::append_headers(context, pairs);
+  for (auto& [name, value] : pairs) headers.push_back({std::move(name), std::move(value)});
+}
+
+engine::Failure failure_of(http::Stage stage) noexcept {
+  switch (stage) {
+    case http::Stage::kConnect:
+      return engine::Failure::kConnect;
+    case http::Stage::kExchange:
+      return engine::Failure::kExchange;
+    case http::Stage::kIncomplete:
+      return engine::Failure::kIncomplete;
+    case http::Stage::kTimeout:
+      return engine::Failure::kTimeout;
+    case http::Stage::kCancelled:
+      break;
+  }
+  return engine::Failure::kCancelled;
+}
+
+std::uint64_t fingerprint_of(std::string_view service, const http::Request& request) {
+  return execution::fingerprint(service, request.method, request.target, request.body);
+}
+
+execution::StoredAnswer store(const http::Response& response) {
+  execution::StoredAnswer stored;
+  stored.status = response.status;
+  for (const http::Header& header : response.headers) stored.headers.emplace_back(header.name, header.value);
+  stored.body = response.body;
+  return stored;
+}
+
+}  // namespace
+
+DataPlane::DataPlane(engine::Node& node, const Directory& directory, const wire::Authenticator& authenticator,
+                     wire::Sender self, http::Endpoint local_server, CallObserver observer,
+                     CrashObserver crash_observer)
+    : node_(node),
+      directory_(directory),
+      authenticator_(authenticator),
+      self_(self),
+      local_server_(std::move(local_server)),
+      observer_(std::move(observer)),
+      crash_observer_(std::move(crash_observer)) {}
+
+void DataPlane::post(std::vector<admission::QueueEvent>& events) {
+  tickets_.post(events);
+  events.clear();
+}
+
+void DataPlane::tick(core::TimePoint now) {
+  std::vector<admission::QueueEvent> events;
+  node_.tick(now, events);
+  post(events);
+}
+
+http::Response DataPlane::handle_call(http::Request&& request, const http::Arrival& arrival) {
+  const Counted counted(in_progress_);
+  const auto begin = Clock::now();
+  CallReport report;
+  http::Response response = answer_call(std::move(request), arrival, report);
+  report.status = response.status;
+  report.latency = Clock::now() - begin;
+  observer_(report);
+  return response;
+}
+
+http::Response DataPlane::answer_call(http::Request&& request, const http::Arrival& arrival, CallReport& report) {
+  ParsedContext parsed = parse_context(request.headers);
+  if (!parsed.context) {
+    report.verdict = core::not_run(Cause::kBadRequest);
+    return refusal(report.verdict, parsed.error.where + ": " + parsed.error.message);
+  }
+  engine::CallRequest call_request;
+  call_request.context = std::move(*parsed.context);
+  const std::string prefix = context::take_service_prefix(request.target);
+  call_request.service = call_request.context.service.empty() ? prefix : call_request.context.service;
+  report.service = call_request.service;
+  report.root = call_request.context.parent.empty();
+  if (call_request.service.empty()) {
+    report.verdict = core::not_run(Cause::kBadRequest);
+    return refusal(report.verdict, "name the service in Damask-Service or as /svc/NAME/");
+  }
+  if (refusing_callers_ && report.root) {
+    report.verdict = core::not_run(Cause::kLeaving, std::chrono::milliseconds(1));
+    return refusal(report.verdict, "this daemon is leaving; use another one");
+  }
+  call_request.method = request.method;
+  call_request.target = request.target;
+  call_request.fingerprint = fingerprint_of(call_request.service, request);
+  http::remove_hop_by_hop(request.headers);
+
+  engine::OutboundCall call(node_, std::move(call_request));
+  core::Random& random = thread_random();
+  engine::Step step = call.begin(random, Clock::now());
+  const ParentWatch watch(call.parent(), arrival.caller_gone);
+  std::optional<http::Response> answer;
+  for (;;) {
+    switch (step.kind) {
+      case engine::StepKind::kSend: {
+        Exchange done = send_attempt(step, request, arrival.caller_gone);
+        answer = std::move(done.response);
+        step = call.attempt_finished(done.result, random, Clock::now());
+        continue;
+      }
+      case engine::StepKind::kObtainToken: {
+        core::Verdict verdict;
+        const std::string body = std::to_string(fingerprint_of(report.service, request));
+        const auto token = ask(step, PeerOperation::kToken, body, verdict, arrival.caller_gone);
+        step = call.token_obtained(token, verdict, random, Clock::now());
+        continue;
+      }
+      case engine::StepKind::kConfirmRepeat: {
+        core::Verdict verdict;
+        const auto granted = ask(step, PeerOperation::kRepeat, step.request_id, verdict, arrival.caller_gone);
+        const auto allowance = granted ? std::optional<int>(std::atoi(granted->c_str())) : std::nullopt;
+        step = call.repeat_confirmed(allowance, random, Clock::now());
+        continue;
+      }
+      case engine::StepKind::kWait: {
+        const auto until = Clock::now() + step.delay;
+        while (Clock::now() < until && !arrival.caller_gone.cancelled()) {
+          std::this_thread::sleep_for(std::min<core::Duration>(kWaitSlice, until - Clock::now()));
+        }
+        step = call.resume(random, Clock::now());
+        continue;
+      }
+      case engine::StepKind::kPassAnswer:
+      case engine::StepKind::kRefuse:
+        break;
+    }
+    break;
+  }
+  report.importance = call.importance();
+  report.attempts = call.attempts();
+  report.at_most_once = call.at_most_once();
+  report.verdict = step.verdict;
+  http::Response response;
+  if (step.kind == engine::StepKind::kPassAnswer) {
+    response = std::move(*answer);
+    append_verdict(step.verdict, response.headers);
+  } else {
+    response = refusal(step.verdict);
+    if (!step.token.empty()) http::set(response.headers, "Damask-Token", step.token);
+  }
+  if (!step.request_id.empty()) http::set(response.headers, "Damask-Request-Id", step.request_id);
+  return response;
+}
+
+DataPlane::Exchange DataPlane::send_attempt(const engine::Step& step, const http::Request& request,
+                                            http::Cancellation& cancellation) {
+  const auto begin = Clock::now();
+  Exchange done;
+  const std::optional<http::Endpoint> endpoint = directory_.peer(step.server);
+  if (!endpoint) {
+    done.result.failure = engine::Failure::kNoAddress;
+    return done;
+  }
+  http::Request attempt = request;
+  replace_context(step.context, attempt.headers);
+  core::Random& random = thread_random();
+  const core::RequestKey key{random(), random()};
+  if (step.server == self_.id) {
+    // The chosen server is the local one: no exchange between daemons.
+    done.response = run_peer_call(std::move(attempt), {PeerOperation::kCall, key}, cancellation);
+  } else {
+    sign(attempt, PeerOperation::kCall, self_, key, authenticator_);
+    const http::Reuse reuse = step.fresh_connection ? http::Reuse::kNever : http::Reuse::kAllowed;
+    http::ExchangeResult result = client_.send(*endpoint, attempt, step.timeout, reuse, &cancellation);
+    if (const auto* failure = std::get_if<http::Failure>(&result)) {
+      done.result.failure = failure_of(failure->stage);
+      done.result.latency = Clock::now() - begin;
+      return done;
+    }
+    done.response = std::move(std::get<http::Response>(result));
+    http::remove_hop_by_hop(done.response->headers);
+  }
+  engine::InboundOutcome outcome;
+  if (!take_outcome(done.response->headers, outcome)) {
+    // Whatever answered is no daemon, or the answer lost its headers.
+    outcome.verdict = core::may_have_run(Cause::kIncomplete);
+  }
+  done.result.verdict = outcome.verdict;
+  done.result.level = outcome.level;
+  done.result.unspent = outcome.unspent;
+  done.result.latency = Clock::now() - begin;
+  return done;
+}
+
+std::optional<std::string> DataPlane::ask(const engine::Step& step, PeerOperation operation, const std::string& body,
+                                          core::Verdict& verdict, http::Cancellation& cancellation) {
+  const std::optional<http::Endpoint> endpoint = directory_.peer(step.server);
+  verdict = core::not_run(Cause::kConnection);
+  if (!endpoint) return std::nullopt;
+  http::Request request{"POST", "/", {}, body};
+  core::Random& random = thread_random();
+  sign(request, operation, self_, {random(), random()}, authenticator_);
+  http::ExchangeResult result =
+      client_.send(*endpoint, request, std::min(step.timeout, kAskTimeout), http::Reuse::kAllowed, &cancellation);
+  auto* response = std::get_if<http::Response>(&result);
+  if (response == nullptr) return std::nullopt;
+  if (response->status == 200) return std::move(response->body);
+  engine::InboundOutcome outcome;
+  if (take_outcome(response->headers, outcome)) verdict = outcome.verdict;
+  return std::nullopt;
+}
+
+http::Response DataPlane::handle_peer(http::Request&& request, const http::Arrival& arrival) {
+  const Counted counted(in_progress_);
+  const std::optional<PeerHeaders> peer = verify(request, authenticator_);
+  if (!peer) return refusal(core::not_run(Cause::kUnauthorized));
+  switch (peer->operation) {
+    case PeerOperation::kToken: {
+      const std::uint64_t fingerprint = std::strtoull(request.body.c_str(), nullptr, 10);
+      const std::optional<std::string> token = node_.issue_token(fingerprint, Clock::now());
+      if (!token) return refusal(core::not_run(node_.draining() ? Cause::kLeaving : Cause::kOverload));
+      return {200, {}, *token};
+    }
+    case PeerOperation::kRepeat: {
+      const std::optional<int> allowance = node_.confirm_repeat(request.body, Clock::now());
+      if (!allowance) return refusal(core::not_run(Cause::kRetryBound));
+      return {200, {}, std::to_string(*allowance)};
+    }
+    case PeerOperation::kCall:
+      break;
+  }
+  http::remove_hop_by_hop(request.headers);
+  return run_peer_call(std::move(request), *peer, arrival.caller_gone);
+}
+
+http::Response DataPlane::run_peer_call(http::Request&& request, const PeerHeaders& peer,
+                                        http::Cancellation& caller_gone) {
+  ParsedContext parsed = parse_context(request.headers);
+  if (!parsed.context) return refusal(core::not_run(Cause::kBadRequest));
+  engine::PeerRequest inbound{request.method, request.target, fingerprint_of(parsed.context->service, request),
+                              std::move(*parsed.context), peer.attempt};
+  std::vector<admission::QueueEvent> events;
+  engine::InboundCall call(node_, std::move(inbound));
+  engine::InboundStep step = call.arrive(Clock::now(), events);
+  post(events);
+  if (step.kind == engine::InboundKind::kQueued) step = wait_in_queue(call, step, caller_gone);
+  if (step.kind == engine::InboundKind::kRefuse) {
+    http::Response response = refusal(step.verdict);
+    if (step.stored) {
+      response = {step.stored->status, {}, step.stored->body};
+      for (const auto& [name, value] : step.stored->headers) response.headers.push_back({name, value});
+    }
+    append_outcome(call.outcome(step.verdict), response.headers);
+    return response;
+  }
+  std::optional<http::Response> answer;
+  engine::LocalResult result;
+  {
+    // When the calling daemon gives up, the server's own calls end as well.
+    const std::shared_ptr<engine::Running> running = call.running();
+    result = run_local(step, std::move(request), caller_gone, answer);
+    if (caller_gone.cancelled()) call.cancel(Clock::now(), events);
+  }
+  if (answer && step.context.at_most_once) result.answer = store(*answer);
+  const engine::InboundOutcome outcome = call.finish(result, Clock::now(), events);
+  post(events);
+  http::Response response =
+      answer && outcome.verdict.execution == Execution::kRan ? std::move(*answer) : refusal(outcome.verdict);
+  append_outcome(outcome, response.headers);
+  return response;
+}
+
+engine::InboundStep DataPlane::wait_in_queue(engine::InboundCall& call, const engine::InboundStep& step,
+                                             http::Cancellation& caller_gone) {
+  std::vector<admission::QueueEvent> events;
+  const auto gone = [&caller_gone] { return caller_gone.cancelled(); };
+  std::optional<admission::QueueEvent> event = tickets_.wait(step.ticket, step.timeout, gone);
+  if (!event) {
+    const bool ended = call.cancel(Clock::now(), events);
+    post(events);
+    if (ended) {
+      engine::InboundStep refused;
+      refused.verdict = core::not_run(gone() ? Cause::kCancelled : Cause::kDeadline);
+      return refused;
+    }
+    // The event was posted meanwhile.
+    event = tickets_.wait(step.ticket, std::chrono::seconds(1), [] { return false; });
+  }
+  engine::InboundStep next;
+  if (event && event->kind == admission::QueueEventKind::kStarted) {
+    next = call.started(Clock::now(), events);
+  } else {
+    next = call.dropped(event ? event->verdict : core::not_run(Cause::kOverload), Clock::now());
+  }
+  post(events);
+  return next;
+}
+
+engine::LocalResult DataPlane::run_local(const engine::InboundStep& step, http::Request&& request,
+                                         http::Cancellation& caller_gone, std::optional<http::Response>& response) {
+  const auto begin = Clock::now();
+  engine::LocalResult local;
+  replace_context(step.context, request.headers);
+  const http::Reuse reuse = step.context.at_most_once ? http::Reuse::kNever : http::Reuse::kAllowed;
+  http::ExchangeResult result = client_.send(local_server_, request, step.timeout, reuse, &caller_gone);
+  local.latency = Clock::now() - begin;
+  if (const auto* failure = std::get_if<http::Failure>(&result)) {
+    local.failure = failure_of(failure->stage);
+    if (failure->stage == http::Stage::kExchange || failure->stage == http::Stage::kIncomplete) {
+      check_crash(Clock::now());
+      // The caller may repeat the request as soon as it is answered; the news has to reach the other servers first.
+      if (server_down_) std::this_thread::sleep_for(kCrashNewsTime);
+    }
+    return local;
+  }
+  if (server_down_.exchange(false)) LOG4CPLUS_INFO(logger(), "the local server answers again");
+  response = std::move(std::get<http::Response>(result));
+  http::remove_hop_by_hop(response->headers);
+  local.status = response->status;
+  local.states_not_run = http::find(response->headers, "Damask-Verdict") == core::to_string(Execution::kNotRun);
+  return local;
+}
+
+// A broken connection alone may be one worker's fault; a server that also refuses a new connection has ended.
+void DataPlane::check_crash(core::TimePoint now) {
+  const std::lock_guard lock(crash_mutex_);
+  if (server_down_) return;
+  if (http::internal::connect(local_server_, now + kCrashProbeTimeout).valid()) return;
+  server_down_ = true;
+  ++crashes_seen_;
+  node_.server_crashed(now);
+  crash_observer_();
+  LOG4CPLUS_WARN(logger(), "the local server has ended while calls were running");
+}
+
+}  // namespace damaskthread::daemon
--- /dev/null
+++ b/src/damaskthread/daemon/data_plane.h
@@ -0,0 +1,104 @@
+#ifndef DAMASKTHREAD_DAEMON_DATA_PLANE_H_
+#define DAMASKTHREAD_DAEMON_DATA_PLANE_H_
+
+/// @file
+/// @brief Carries out the engine's steps over HTTP: the call port, the peer port and the local server.
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "damaskthread/core/types.h"
+#include "damaskthread/daemon/directory.h"
+#include "damaskthread/daemon/peer_headers.h"
+#include "damaskthread/daemon/ticket_board.h"
+#include "damaskthread/engine/inbound_call.h"
+#include "damaskthread/engine/node.h"
+#include "damaskthread/engine/outbound_call.h"
+#include "damaskthread/http/client.h"
+#include "damaskthread/http/message.h"
+#include "damaskthread/http/server.h"
+#include "damaskthread/wire/authenticator.h"
+
+namespace damaskthread::daemon {
+
+/// One answered call at the call port, for metrics and objectives.
+struct CallReport {
+  std::string service;
+  core::Importance importance = core::Importance::kNormal;
+  core::Verdict verdict;
+  int status = 200;
+  core::Duration latency{0};
+  int attempts = 0;
+  bool at_most_once = false;
+  /// The call came from outside rather than from the local server.
+  bool root = true;
+};
+
+using CallObserver = std::function<void(const CallReport&)>;
+/// Called when the local server has crashed, before the crashed calls are answered.
+using CrashObserver = std::function<void()>;
+
+/// Handlers run on the threads of the HTTP servers.
+class DataPlane {
+ public:
+  DataPlane(engine::Node& node, const Directory& directory, const wire::Authenticator& authenticator, wire::Sender self,
+            http::Endpoint local_server, CallObserver observer,
+            CrashObserver crash_observer);
+
+  /// @brief Answers a call of a caller outside or of the local server.
+  [[nodiscard]] http::Response handle_call(http::Request&& request, const http::Arrival& arrival);
+  /// @brief Answers another daemon.
+  [[nodiscard]] http::Response handle_peer(http::Request&& request, const http::Arrival& arrival);
+
+  /// @brief Periodic work of the node; its queue events reach the waiting threads.
+  void tick(core::TimePoint now);
+  /// @brief Calls in progress at the call port and the peer port.
+  [[nodiscard]] int in_progress() const noexcept { return in_progress_.load(); }
+  /// @brief Whether new calls from outside are refused as leaving.
+  void refuse_callers() noexcept { refusing_callers_.store(true); }
+  /// @brief Whether the local server's process was gone at the last exchange.
+  [[nodiscard]] bool server_down() const noexcept { return server_down_.load(); }
+  [[nodiscard]] std::uint64_t crashes_seen() const noexcept { return crashes_seen_.load(); }
+
+ private:
+  struct Exchange {
+    engine::AttemptResult result;
+    std::optional<http::Response> response;
+  };
+
+  http::Response answer_call(http::Request&& request, const http::Arrival& arrival, CallReport& report);
+  Exchange send_attempt(const engine::Step& step, const http::Request& request, http::Cancellation& cancellation);
+  std::optional<std::string> ask(const engine::Step& step, PeerOperation operation, const std::string& body,
+                                 core::Verdict& verdict, http::Cancellation& cancellation);
+  http::Response run_peer_call(http::Request&& request, const PeerHeaders& peer, http::Cancellation& caller_gone);
+  engine::InboundStep wait_in_queue(engine::InboundCall& call, const engine::InboundStep& step,
+                                    http::Cancellation& caller_gone);
+  engine::LocalResult run_local(const engine::InboundStep& step, http::Request&& request,
+                                http::Cancellation& caller_gone, std::optional<http::Response>& response);
+  void check_crash(core::TimePoint now);
+  void post(std::vector<admission::QueueEvent>& events);
+
+  engine::Node& node_;
+  const Directory& directory_;
+  const wire::Authenticator& authenticator_;
+  const wire::Sender self_;
+  const http::Endpoint local_server_;
+  CallObserver observer_;
+  CrashObserver crash_observer_;
+  http::Client client_;
+  TicketBoard tickets_;
+  std::atomic<int> in_progress_{0};
+  std::atomic<bool> refusing_callers_{false};
+  std::atomic<bool> server_down_{false};
+  std::atomic<std::uint64_t> crashes_seen_{0};
+  std::mutex crash_mutex_;
+};
+
+}  // namespace damaskthread::daemon
+
+#endif  // DAMASKTHREAD_DAEMON_DATA_PLANE_H_
--- a/src/damaskthread/engine/outbound_call.cc
+++ b/src/damaskthread/engine/outbound_call.cc
@@ -20,8 +20,8 @@
 constexpr int kMaxTokenTries = 3;
 
 const resource::ServiceDeclaration& undeclared() {
-  static const resource::ServiceDeclaration kDefaults{};
-  return kDefaults;
+  static const resource::ServiceDeclaration defaults{};
+  return defaults;
 }
 
 constexpr std::array<Cause, 7> kCauseOfFailure = {Cause::kNone,       Cause::kServerGone, Cause::kConnection,
--- a/src/damaskthread/http/message.h
+++ b/src/damaskthread/http/message.h
@@ -37,7 +37,7 @@
 struct Endpoint {
   std::string host;
   std::uint16_t port = 0;
-  auto operator<=>(const Endpoint&) const = default;
+  std::strong_ordering operator<=>(const Endpoint&) const = default;
 };
 
 /// @brief Value of the first header with a name; names compare without case.
--- a/src/damaskthread/http/server.cc
+++ b/src/damaskthread/http/server.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <exception>
 #include <optional>
 #include <utility>
 
@@ -56,7 +57,13 @@
     request.body = std::move(received.body);
     Cancellation caller_gone;
     const internal::CallerWatch::Registration registration(watch ? &*watch : nullptr, received.descriptor, caller_gone);
-    return handler(std::move(request), {caller_gone, received.peer});
+    try {
+      return handler(std::move(request), {caller_gone, received.peer});
+    } catch (const std::exception& error) {
+      // What the handler had started by then is not known.
+      return {
+          500, {{"Content-Type", "text/plain"}, {"Damask-Verdict", "may-have-run"}}, std::string(error.what()) + "\n"};
+    }
   }
 
   Handler handler;
--- a/src/damaskthread/http/server.h
+++ b/src/damaskthread/http/server.h
@@ -22,7 +22,7 @@
   std::string peer;
 };
 
-/// Answers one request. Runs on a thread of the server; must not throw.
+/// Answers one request. Runs on a thread of the server. An exception becomes status 500 with verdict "may have run".
 using Handler = std::function<Response(Request&&, const Arrival&)>;
 
 struct ServerOptions {
--- a/src/damaskthread/http/socket_stream.cc
+++ b/src/damaskthread/http/socket_stream.cc
@@ -20,7 +20,7 @@
 using Clock = std::chrono::steady_clock;
 
 // Waits for an event on a descriptor; returns 0 on success, else an errno value.
-int wait_for(int descriptor, short events, Clock::time_point deadline) noexcept {
+int wait_for(int descriptor, std::int16_t events, Clock::time_point deadline) noexcept {
   for (;;) {
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - Clock::now()).count();
     if (left <= 0) return ETIMEDOUT;
--- a/test/support/call_chain.cc
+++ b/test/support/call_chain.cc
@@ -92,10 +92,10 @@
   request.context.token = token;
   // The node stays alive for the length of the call, as the process that holds the caller's connection would.
   const std::shared_ptr<engine::Node> node = daemons_[ingress].node;
-  return outbound(*node, std::move(request), number);
+  return outbound(*node, request, number);
 }
 
-Answer CallChain::outbound(engine::Node& node, engine::CallRequest request, std::uint64_t number) {
+Answer CallChain::outbound(engine::Node& node, const engine::CallRequest& request, std::uint64_t number) {
   engine::OutboundCall call(node, request);
   engine::Step step = call.begin(random_, now_);
   std::uint64_t body = 0;
--- a/test/support/child_process.cc
+++ b/test/support/child_process.cc
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <csignal>
 #include <cstdlib>
 #include <stdexcept>
@@ -39,14 +40,17 @@
 }
 
 std::uint16_t free_port() {
-  const SocketGuard guard;
-  sockaddr_in address = loopback(0);
-  socklen_t length = sizeof address;
-  if (bind(guard.descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
-      getsockname(guard.descriptor, reinterpret_cast<sockaddr*>(&address), &length) != 0) {
-    throw std::runtime_error("no free port");
+  // Ports below the ephemeral range are not taken by outgoing connections between this check and the listen.
+  constexpr unsigned kFirst = 20'000;
+  constexpr unsigned kCount = 12'000;
+  static std::atomic<unsigned> next{static_cast<unsigned>(getpid()) * 37U};
+  for (unsigned i = 0; i < kCount; ++i) {
+    const auto port = static_cast<std::uint16_t>(kFirst + next++ % kCount);
+    const SocketGuard guard;
+    const sockaddr_in address = loopback(port);
+    if (bind(guard.descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) return port;
   }
-  return ntohs(address.sin_port);
+  throw std::runtime_error("no free port");
 }
 
 bool wait_for_port(std::uint16_t port, std::chrono::milliseconds timeout) {
