--- a/test/damaskthread/resource/declaration_test.cc
+++ b/test/damaskthread/resource/declaration_test.cc
@@ -40,8 +40,8 @@
 
 // A valid document with some bytes overwritten: reaches deeper than random bytes.
 std::string damaged(std::string text) {
-  const auto edits = *rc::gen::container<std::vector<std::pair<std::uint32_t, char>>>(
-      rc::gen::pair(rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint32_t>()), rc::gen::arbitrary<char>()));
+  const auto edits = *rc::gen::container<std::vector<std::pair<std::uint32_t, char>>>(rc::gen::pair(
+      rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint32_t>()), rc::gen::arbitrary<char>()));
   for (const auto& [at, byte] : edits) text[at % text.size()] = byte;
   return text.substr(0, *rc::gen::inRange<std::size_t>(0, text.size() + 1));
 }
@@ -60,8 +60,8 @@
 // Guards against a payment that is treated as an ordinary call because its path is spelled differently.
 TEST_CASE("classify takes the longest prefix and compares paths in normal form") {
   const ServiceDeclaration service = valid();
-  for (const char* path : {"/payments", "/payments/7?x=1", "//payments", "/./payments", "/x/../payments", "/%70ayments",
-                           "/payments/"}) {
+  for (const char* path :
+       {"/payments", "/payments/7?x=1", "//payments", "/./payments", "/x/../payments", "/%70ayments", "/payments/"}) {
     CAPTURE(path);
     CHECK(service.classify("POST", path).at_most_once);
   }
@@ -92,10 +92,12 @@
   check("\"retries\": 2", "\"retries\": 2, \"retries\": 3", 3, "retries", "duplicate");
   check("\"slots\": 80", "\"slots\": 600", 4, "connections", "at least as many as slots");
   check("\"critical\", \"at", "\"vital\", \"at", 6, "operations[0].importance", "sheddable, normal, high or critical");
-  check("\"at_most_once\": true", "\"at_most_once\": true, \"idempotent\": true", 6, "operations[0].idempotent", "false");
+  check("\"at_most_once\": true", "\"at_most_once\": true, \"idempotent\": true", 6, "operations[0].idempotent",
+        "false");
   check("\"GET\"", "\"get\"", 7, "operations[1].method", "GET");
   check("\"path_prefix\": \"/\", ", "", 7, "operations[1]", "path_prefix");
-  check("\"GET\", \"path_prefix\": \"/\"", "\"POST\", \"path_prefix\": \"/payments/\"", 7, "operations[1]", "duplicate");
+  check("\"GET\", \"path_prefix\": \"/\"", "\"POST\", \"path_prefix\": \"/payments/\"", 7, "operations[1]",
+        "duplicate");
   check("0.999", "1.0", 10, "objectives[0].target", "below 1");
   check("28d", "28x", 10, "objectives[0].window", "30m, 24h or 28d");
   check("\"booking\"", "\"Booking\"", 3, "name", "a-z");
