Run the engine of the daemons in the damaskthread policy

Cause: the measured policy was hand-written glue around the modules; the engine is what the daemons run. Change: policies drive each hop step by step; the damaskthread policy holds one engine::Node per server.

--- a/test/support/policies.cc
+++ b/test/support/policies.cc
@@ -1,12 +1,7 @@
 #include <algorithm>
 #include <cmath>
-#include <unordered_map>
 #include <utility>
 
-#include "damaskthread/admission/entrance_gate.h"
-#include "damaskthread/admission/server_admission.h"
-#include "damaskthread/quarantine/crash_quarantine.h"
-#include "damaskthread/retry/policy.h"
 #include "support/policy_fixture.h"
 
 namespace damaskthread::test {
@@ -21,15 +16,17 @@
   }
 }
 
-int Policy::choose(const PolicyCall& call, std::span<const int> /*tried*/) {
-  return first_server(call.service) +
-         static_cast<int>(host_->random()() % static_cast<std::uint64_t>(spec_of(call.service).servers));
+HopStep Policy::choose(const PolicyCall& hop) {
+  const auto servers = static_cast<std::uint64_t>(spec_of(hop.service).servers);
+  return {HopStep::Kind::kSend, first_server(hop.service) + static_cast<int>(host_->random()() % servers), {}};
 }
 
-namespace {
+HopStep Policy::answered(const PolicyCall& hop, const HopAnswer& answer) {
+  if (answer.ok || !retry(hop)) return {};
+  return {HopStep::Kind::kWait, 0, std::chrono::microseconds{2000 + host_->random()() % 4000}};
+}
 
-using admission::Level;
-using std::chrono::milliseconds;
+namespace {
 
 /// A fixed limit per server without a queue, and up to 3 retries per hop.
 class FixedPolicy : public Policy {
@@ -42,20 +39,22 @@
       limit_.insert(limit_.end(), static_cast<std::size_t>(service.servers), service.slots);
     }
   }
-  void arrive(PolicyCall& call) override {
+  void arrive(const PolicyCall& call) override {
     const auto server = static_cast<std::size_t>(call.server);
     if (running_[server] >= static_cast<int>(limit_[server])) {
-      return host_->refuse_call(call.id, core::not_run(core::Cause::kOverload));
+      return host_->refuse_call(call.id, {.verdict = core::not_run(core::Cause::kOverload)});
     }
     ++running_[server];
     host_->start_call(call.id);
   }
-  void finish(const PolicyCall& call, const admission::CallResult& /*result*/) override {
+  HopAnswer finish(const PolicyCall& call, const ServerOutcome& outcome) override {
     --running_[static_cast<std::size_t>(call.server)];
+    return {.ok = outcome.ok};
   }
-  bool retry(const PolicyCall& call, core::Verdict /*verdict*/) override { return call.retries < 3; }
 
  protected:
+  bool retry(const PolicyCall& call) override { return call.retries < 3; }
+
   std::vector<int> running_;
   std::vector<double> limit_;
 };
@@ -68,10 +67,10 @@
     mean_.assign(limit_.size(), {0, 0});
     budget_.assign(limit_.size() * deployment.services.size(), 10);
   }
-  void finish(const PolicyCall& call, const admission::CallResult& result) override {
+  HopAnswer finish(const PolicyCall& call, const ServerOutcome& outcome) override {
     const auto server = static_cast<std::size_t>(call.server);
-    if (result.ok) {
-      const double latency = std::chrono::duration<double>(result.latency).count();
+    if (outcome.ok) {
+      const double latency = std::chrono::duration<double>(outcome.latency).count();
       auto& [slow, fast] = mean_[server];
       if (slow == 0) slow = fast = latency;
       slow += (latency - slow) * 0.002;
@@ -83,13 +82,15 @@
       }
       limit = std::clamp<double>(limit, 4, spec_of(call.service).connections);
     }
-    FixedPolicy::finish(call, result);
+    return FixedPolicy::finish(call, outcome);
   }
-  void sent(const PolicyCall& call) override {
-    double& budget = budget_of(call);
+  void sent(const PolicyCall& hop, std::uint64_t /*attempt*/) override {
+    double& budget = budget_of(hop);
     budget = std::min(10.0, budget + 0.2);
   }
-  bool retry(const PolicyCall& call, core::Verdict /*verdict*/) override {
+
+ protected:
+  bool retry(const PolicyCall& call) override {
     double& budget = budget_of(call);
     if (call.retries >= 3 || budget < 1) return false;
     budget -= 1;
@@ -105,167 +106,6 @@
   std::vector<double> budget_;
 };
 
-/// The decisions of the core modules.
-class DamaskthreadPolicy final : public Policy {
- public:
-  void set_up(const Deployment& deployment, const Scenario& scenario, PolicyHost& host) override {
-    Policy::set_up(deployment, scenario, host);
-    const auto servers = static_cast<std::size_t>(server_count());
-    daemons_.clear();
-    for (const ServiceSpec& service : deployment.services) {
-      for (int i = 0; i < service.servers; ++i) {
-        daemons_.push_back(std::make_unique<Daemon>(service.slots, servers, deployment.services.size()));
-      }
-    }
-    tick();
-  }
-  bool carries_deadline() const override { return true; }
-
-  bool admits(const PolicyCall& call) override {
-    const Daemon& daemon = daemon_at(call.daemon);
-    if (daemon.quarantine.held(call.fingerprint, host_->now())) return false;
-    return daemon.gate.admits({static_cast<std::uint32_t>(call.service)}, arrival_of(call), host_->now());
-  }
-
-  int choose(const PolicyCall& call, std::span<const int> tried) override {
-    const Daemon& daemon = daemon_at(call.daemon);
-    std::vector<int> candidates;
-    const int first = first_server(call.service);
-    for (int server = first; server < first + spec_of(call.service).servers; ++server) {
-      if (std::find(tried.begin(), tried.end(), server) == tried.end()) candidates.push_back(server);
-    }
-    if (candidates.empty()) return -1;
-    std::shuffle(candidates.begin(), candidates.end(), host_->random());
-    if (candidates.size() == 1) return candidates[0];
-    const auto cost = [&](int server) {
-      const auto index = static_cast<std::size_t>(server);
-      return daemon.outstanding[index] + (host_->now() < daemon.avoid_until[index] ? 1000 : 0);
-    };
-    return cost(candidates[1]) < cost(candidates[0]) ? candidates[1] : candidates[0];
-  }
-
-  void sent(const PolicyCall& call) override {
-    Daemon& daemon = daemon_at(call.daemon);
-    ++daemon.outstanding[static_cast<std::size_t>(call.server)];
-    if (call.retries == 0) daemon.ratios[static_cast<std::size_t>(call.service)].on_call();
-  }
-
-  void arrive(PolicyCall& call) override {
-    Daemon& daemon = daemon_at(call.server);
-    const TimePoint now = host_->now();
-    const quarantine::StartResult start = daemon.quarantine.start(call.fingerprint, now);
-    if (start != quarantine::StartResult::kStarted) {
-      return host_->refuse_call(call.id, core::not_run(core::Cause::kQuarantined));
-    }
-    const admission::Decision decision = daemon.admission.arrive(arrival_of(call), now, daemon.events);
-    call.ticket = decision.ticket;
-    if (decision.admission == admission::Admission::kQueued) daemon.queued[decision.ticket.value] = call;
-    handle_events(daemon);
-    if (decision.admission == admission::Admission::kStart) host_->start_call(call.id);
-    if (decision.admission == admission::Admission::kRefused) {
-      daemon.quarantine.end(call.fingerprint);
-      host_->refuse_call(call.id, decision.verdict);
-    }
-  }
-
-  void finish(const PolicyCall& call, const admission::CallResult& result) override {
-    Daemon& daemon = daemon_at(call.server);
-    if (result.ok) {
-      daemon.quarantine.on_success(call.fingerprint, host_->now());
-    } else {
-      daemon.quarantine.end(call.fingerprint);
-    }
-    daemon.admission.finish(call.ticket, result, host_->now(), daemon.events);
-    handle_events(daemon);
-  }
-
-  void crash(int server, std::span<const PolicyCall> running) override {
-    std::vector<std::uint64_t> fingerprints;
-    for (const PolicyCall& call : running) fingerprints.push_back(call.fingerprint);
-    daemon_at(server).quarantine.on_crash({++crashes_}, fingerprints, host_->now());
-    spread(daemon_at(server));
-  }
-
-  Level level(int server) override { return daemon_at(server).admission.level(); }
-
-  void answered(const PolicyCall& call, Level level, core::Verdict verdict, bool ok) override {
-    Daemon& daemon = daemon_at(call.daemon);
-    const auto server = static_cast<std::size_t>(call.server);
-    --daemon.outstanding[server];
-    daemon.gate.heard({static_cast<std::uint32_t>(call.service)}, level, host_->now());
-    if (ok) return;
-    const bool gone = verdict.cause == core::Cause::kConnection || verdict.cause == core::Cause::kCrashed;
-    daemon.avoid_until[server] = host_->now() + milliseconds{gone ? 1000 : 30};
-  }
-
-  bool retry(const PolicyCall& call, core::Verdict verdict) override {
-    if (call.retries >= 3 || host_->now() >= call.deadline) return false;
-    if (verdict.execution == core::Execution::kMayHaveRun && call.importance == core::Importance::kCritical) {
-      return false;
-    }
-    return daemon_at(call.daemon).ratios[static_cast<std::size_t>(call.service)].allow();
-  }
-
- private:
-  struct Daemon {
-    Daemon(int slots, std::size_t servers, std::size_t services)
-        : admission({.limit = {.slots = slots, .warm_up = Duration{0}}}),
-          outstanding(servers),
-          avoid_until(servers),
-          ratios(services) {}
-    admission::ServerAdmission admission;
-    admission::EntranceGate gate;
-    quarantine::CrashQuarantine quarantine;
-    std::vector<admission::QueueEvent> events;
-    std::unordered_map<std::uint64_t, PolicyCall> queued;
-    std::vector<int> outstanding;
-    std::vector<TimePoint> avoid_until;
-    std::vector<retry::RetryRatio> ratios;
-  };
-
-  Daemon& daemon_at(int index) { return *daemons_[static_cast<std::size_t>(index)]; }
-
-  static admission::Arrival arrival_of(const PolicyCall& call) {
-    return {call.importance, call.request_hash, call.depth, call.deadline, call.depth > 0};
-  }
-
-  void handle_events(Daemon& daemon) {
-    const std::vector<admission::QueueEvent> events = std::exchange(daemon.events, {});
-    for (const admission::QueueEvent& event : events) {
-      const auto found = daemon.queued.find(event.ticket.value);
-      PolicyCall call = found->second;
-      daemon.queued.erase(found);
-      if (event.kind == admission::QueueEventKind::kStarted) {
-        host_->start_call(call.id);
-      } else {
-        daemon.quarantine.end(call.fingerprint);
-        host_->refuse_call(call.id, event.verdict);
-      }
-    }
-  }
-
-  void tick() {
-    for (const auto& daemon : daemons_) {
-      daemon->admission.tick(host_->now(), daemon->events);
-      handle_events(*daemon);
-    }
-    host_->after(milliseconds{10}, [this] { tick(); });
-  }
-
-  void spread(Daemon& from) {
-    const std::vector<quarantine::CrashMark> marks = from.quarantine.news(host_->now());
-    if (marks.empty()) return;
-    for (const auto& daemon : daemons_) {
-      if (daemon.get() == &from) continue;
-      host_->after(scenario_->news_delay,
-                   [this, to = daemon.get(), marks] { to->quarantine.merge(marks, host_->now()); });
-    }
-  }
-
-  std::vector<std::unique_ptr<Daemon>> daemons_;
-  std::uint64_t crashes_ = 0;
-};
-
 }  // namespace
 
 std::unique_ptr<Policy> make_policy(PolicyKind kind) {
@@ -279,7 +119,7 @@
     case PolicyKind::kDamaskthread:
       break;
   }
-  return std::make_unique<DamaskthreadPolicy>();
+  return make_damaskthread_policy();
 }
 
 }  // namespace damaskthread::test
--- a/test/support/policy_fixture.cc
+++ b/test/support/policy_fixture.cc
@@ -7,8 +7,6 @@
 namespace damaskthread::test {
 namespace {
 
-using admission::CallResult;
-using admission::Level;
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
@@ -32,6 +30,8 @@
   TimePoint issued;
   std::uint64_t fingerprint = 0;
   bool poison = false;
+  /// The daemon that its caller talks to.
+  int daemon = 0;
   int tries = 0;
   bool done = false;
 };
@@ -40,13 +40,12 @@
 struct Hop {
   std::uint32_t generation = 1;
   bool used = false;
-  /// Handle of the running parent call; zero at the entrance.
-  std::uint64_t parent = 0;
   std::size_t request = 0;
   const CallSpec* spec = nullptr;
   PolicyCall call;
-  std::vector<int> tried;
+  int depth = 0;
   std::uint64_t attempt = 0;
+  TimePoint sent;
 };
 
 /// The receiving side of one try.
@@ -57,14 +56,13 @@
   std::size_t request = 0;
   const CallSpec* spec = nullptr;
   PolicyCall call;
+  int depth = 0;
   bool in_slot = false;
   bool ended = false;
   TimePoint start;
-  TimePoint children_start;
   int children = 0;
   bool failed = false;
-  core::Verdict verdict;
-  Level level;
+  HopAnswer answer;
   /// Work at depth 2 and below that this call rests on.
   double deep_work = 0;
   double own_work = 0;
@@ -152,20 +150,20 @@
     Server& server = servers_[static_cast<std::size_t>(attempt->call.server)];
     const ServiceSpec& service = deployment_.services[static_cast<std::size_t>(server.service)];
     attempt->start = now_;
-    if (server.down) return end_attempt(id, {.ok = false}, core::may_have_run(core::Cause::kConnection));
+    if (server.down) return end_attempt(id, {.refused = true});
     if (server.busy < service.slots) return work(id);
     if (server.busy + static_cast<int>(server.backlog.size()) >= service.connections) {
-      return end_attempt(id, {.ok = false, .refused = true}, core::not_run(core::Cause::kOverload));
+      return end_attempt(id, {.refused = true});
     }
     server.backlog.push_back(id);
   }
 
-  void refuse_call(std::uint64_t id, core::Verdict verdict) override {
+  void refuse_call(std::uint64_t id, const HopAnswer& answer) override {
     Attempt* attempt = attempts_.find(id);
     if (attempt == nullptr) return;
-    attempt->failed = true;
-    attempt->verdict = verdict;
-    answer(id);
+    attempt->ended = true;
+    attempt->answer = answer;
+    after(deployment_.hop, [this, id] { receive(id); });
   }
 
  private:
@@ -213,7 +211,8 @@
 
   void issue(int operation, std::uint64_t fingerprint, bool poison) {
     const std::size_t index = requests_.size();
-    requests_.push_back({operation, now_, fingerprint, poison, 0, false});
+    requests_.push_back(
+        {operation, now_, fingerprint, poison, static_cast<int>(random_() % servers_.size()), 0, false});
     if (!poison) ++bins_[bin(now_)].issued;
     if (!poison && measured(now_)) ++issued_[operation_importance(operation)];
     try_request(index);
@@ -228,29 +227,21 @@
     Hop& hop = *hops_.find(id);
     hop.request = index;
     hop.spec = &operation.root;
+    hop.call.id = id;
+    hop.call.operation = request.operation;
     hop.call.service = operation.root.service;
-    hop.call.importance = operation.importance;
-    // A hard caller does not name its earlier tries: each is a new request to the control layer.
-    hop.call.request_hash = random_();
     hop.call.fingerprint = request.fingerprint;
-    hop.call.depth = 0;
-    hop.call.daemon = static_cast<int>(random_() % servers_.size());
+    hop.call.daemon = request.daemon;
     hop.call.deadline = give_up - 2 * deployment_.client_hop;
-    after(deployment_.client_hop, [this, id] { enter(id); });
+    after(deployment_.client_hop, [this, id] { begin(id); });
     after(give_up - now_, [this, id] { time_out_entrance(id); });
   }
 
-  void enter(std::uint64_t id) {
-    Hop* hop = hops_.find(id);
-    if (hop == nullptr) return;
-    if (!policy_.admits(hop->call)) return fail_hop(id, core::not_run(core::Cause::kOverload));
-    send(id);
-  }
-
   void time_out_entrance(std::uint64_t id) {
     Hop* hop = hops_.find(id);
     if (hop == nullptr) return;
     const std::size_t request = hop->request;
+    policy_.end_hop(hop->call);
     hops_.release(id);
     try_failed(request);
   }
@@ -281,54 +272,62 @@
 
   // --- Sending side ---
 
-  void send(std::uint64_t id) {
-    Hop* hop = hops_.find(id);
-    if (hop == nullptr) return;
-    if (policy_.carries_deadline() && now_ >= hop->call.deadline) {
-      return fail_hop(id, core::not_run(core::Cause::kDeadline));
+  void begin(std::uint64_t id) {
+    if (Hop* hop = hops_.find(id)) apply(id, policy_.begin(hop->call));
+  }
+
+  void resume(std::uint64_t id) {
+    if (Hop* hop = hops_.find(id)) apply(id, policy_.resume(hop->call));
+  }
+
+  void apply(std::uint64_t id, const HopStep& step) {
+    switch (step.kind) {
+      case HopStep::Kind::kSend:
+        return send(id, step.server);
+      case HopStep::Kind::kWait:
+        ++hops_.find(id)->call.retries;
+        return after(step.delay, [this, id] { resume(id); });
+      case HopStep::Kind::kFail:
+        return fail_hop(id);
     }
-    const int server = policy_.choose(hop->call, hop->tried);
-    if (server < 0) return fail_hop(id, core::not_run(core::Cause::kNoServer));
-    hop->tried.push_back(server);
+  }
+
+  void send(std::uint64_t id, int server) {
+    Hop* hop = hops_.find(id);
     hop->call.server = server;
-    policy_.sent(hop->call);
+    hop->sent = now_;
     const std::uint64_t attempt_id = attempts_.acquire();
     Attempt& attempt = *attempts_.find(attempt_id);
     attempt.hop = id;
     attempt.request = hop->request;
     attempt.spec = hop->spec;
+    attempt.depth = hop->depth;
     attempt.call = hop->call;
     attempt.call.id = attempt_id;
     hop->attempt = attempt_id;
+    policy_.sent(hop->call, attempt_id);
     after(deployment_.hop, [this, attempt_id] { arrive(attempt_id); });
     const Duration limit = policy_.carries_deadline() ? hop->call.deadline - now_ : kHopTimeout;
-    after(limit, [this, attempt_id] {
-      const Attempt* late = attempts_.find(attempt_id);
-      if (late == nullptr) return;
-      const Hop* waiting = hops_.find(late->hop);
+    after(limit, [this, id, attempt_id] {
+      const Hop* waiting = hops_.find(id);
       if (waiting == nullptr || waiting->attempt != attempt_id) return;
-      hop_result(late->hop, late->call, core::may_have_run(core::Cause::kDeadline));
+      hop_failed(id, {.timed_out = true, .verdict = core::may_have_run(core::Cause::kDeadline)});
     });
   }
 
-  void hop_result(std::uint64_t id, const PolicyCall& call, core::Verdict verdict) {
+  void hop_failed(std::uint64_t id, HopAnswer answer) {
     Hop* hop = hops_.find(id);
     hop->attempt = 0;
-    hop->call.retries = static_cast<int>(hop->tried.size()) - 1;
-    policy_.answered(call, verdict_level_, verdict, false);
-    if (!policy_.retry(hop->call, verdict)) return fail_hop(id, verdict);
-    const double backoff_ms = std::uniform_real_distribution<double>(2, 6)(random_);
-    after(from_ms(backoff_ms), [this, id] { send(id); });
+    answer.latency = now_ - hop->sent;
+    apply(id, policy_.answered(hop->call, answer));
   }
 
-  void fail_hop(std::uint64_t id, core::Verdict verdict) {
+  void fail_hop(std::uint64_t id) {
     const Hop hop = *hops_.find(id);
+    policy_.end_hop(hop.call);
     hops_.release(id);
-    if (hop.parent == 0) {
-      after(deployment_.client_hop, [this, request = hop.request] { try_failed(request); });
-      return;
-    }
-    child_done(hop.parent, false, 0, verdict);
+    if (hop.call.parent != 0) return child_done(hop.call.parent, false, 0);
+    after(deployment_.client_hop, [this, request = hop.request] { try_failed(request); });
   }
 
   // --- Servers ---
@@ -336,7 +335,7 @@
   void arrive(std::uint64_t id) {
     Attempt* attempt = attempts_.find(id);
     const Server& server = servers_[static_cast<std::size_t>(attempt->call.server)];
-    if (server.down) return refuse_call(id, core::not_run(core::Cause::kConnection));
+    if (server.down) return refuse_call(id, {.verdict = core::not_run(core::Cause::kConnection)});
     policy_.arrive(attempt->call);
   }
 
@@ -362,56 +361,43 @@
   void work_done(std::uint64_t id) {
     Attempt* attempt = attempts_.find(id);
     if (attempt == nullptr || attempt->ended) return;
-    if (attempt->call.depth >= 1) attempt->deep_work += attempt->own_work;
-    attempt->children_start = now_;
+    if (attempt->depth >= 1) attempt->deep_work += attempt->own_work;
     attempt->children = static_cast<int>(attempt->spec->children.size());
-    if (attempt->children == 0) return complete(id);
+    if (attempt->children == 0) return end_attempt(id, {.ok = true, .latency = now_ - attempt->start});
     const CallSpec& spec = *attempt->spec;
     for (const CallSpec& child : spec.children) {
       const std::uint64_t hop_id = hops_.acquire();
       Hop& hop = *hops_.find(hop_id);
-      hop.parent = id;
       hop.request = attempt->request;
       hop.spec = &child;
+      hop.depth = attempt->depth + 1;
       hop.call = attempt->call;
+      hop.call.id = hop_id;
+      hop.call.parent = id;
       hop.call.service = child.service;
       hop.call.daemon = attempt->call.server;
-      hop.call.depth = attempt->call.depth + 1;
       hop.call.retries = 0;
       hop.call.fingerprint = requests_[attempt->request].fingerprint + static_cast<std::uint64_t>(child.service) + 1;
       hop.call.deadline = attempt->call.deadline - 2 * deployment_.hop;
-      after(Duration{0}, [this, hop_id] { send(hop_id); });
+      after(Duration{0}, [this, hop_id] { begin(hop_id); });
     }
   }
 
-  void child_done(std::uint64_t id, bool ok, double deep_work, core::Verdict verdict) {
+  void child_done(std::uint64_t id, bool ok, double deep_work) {
     Attempt* attempt = attempts_.find(id);
     if (attempt == nullptr || attempt->ended) {
       wasted_work_ += deep_work;
       return;
     }
     attempt->deep_work += deep_work;
-    if (!ok) {
-      attempt->failed = true;
-      attempt->verdict = verdict;
-    }
-    if (--attempt->children == 0) complete(id);
-  }
-
-  void complete(std::uint64_t id) {
-    const Attempt& attempt = *attempts_.find(id);
-    CallResult result;
-    result.latency = now_ - attempt.start;
-    result.downstream = now_ - attempt.children_start;
-    result.ok = !attempt.failed;
-    end_attempt(id, result, attempt.verdict);
+    if (!ok) attempt->failed = true;
+    if (--attempt->children > 0) return;
+    end_attempt(id, {.ok = !attempt->failed, .latency = now_ - attempt->start});
   }
 
-  void end_attempt(std::uint64_t id, const CallResult& result, core::Verdict verdict) {
+  void end_attempt(std::uint64_t id, const ServerOutcome& outcome) {
     Attempt& attempt = *attempts_.find(id);
     attempt.ended = true;
-    attempt.failed = !result.ok;
-    attempt.verdict = verdict;
     const PolicyCall call = attempt.call;
     if (attempt.in_slot) {
       Server& server = servers_[static_cast<std::size_t>(call.server)];
@@ -423,15 +409,8 @@
         work(next);
       }
     }
-    policy_.finish(call, result);
-    answer(id);
-  }
-
-  void answer(std::uint64_t id) {
-    Attempt& attempt = *attempts_.find(id);
-    const Level own = policy_.level(attempt.call.server);
-    attempt.level = std::max(attempt.level, own);
-    after(deployment_.hop, [this, id] { receive(id); });
+    attempt.answer = policy_.finish(call, outcome);
+    after(deployment_.hop + attempt.answer.hold, [this, id] { receive(id); });
   }
 
   void receive(std::uint64_t id) {
@@ -442,19 +421,18 @@
       wasted_work_ += attempt.deep_work;
       return;
     }
-    if (Attempt* parent = attempts_.find(hop->parent); hop->parent != 0 && parent != nullptr) {
-      parent->level = std::max(parent->level, attempt.level);
-    }
-    if (attempt.failed) {
+    if (!attempt.answer.ok) {
       wasted_work_ += attempt.deep_work;
-      verdict_level_ = attempt.level;
-      return hop_result(attempt.hop, attempt.call, attempt.verdict);
+      return hop_failed(attempt.hop, attempt.answer);
     }
-    policy_.answered(attempt.call, attempt.level, {}, true);
-    const std::uint64_t parent = hop->parent;
+    HopAnswer answer = attempt.answer;
+    answer.latency = now_ - hop->sent;
+    static_cast<void>(policy_.answered(hop->call, answer));
+    policy_.end_hop(hop->call);
+    const std::uint64_t parent = hop->call.parent;
     const std::size_t request = hop->request;
     hops_.release(attempt.hop);
-    if (parent != 0) return child_done(parent, true, attempt.deep_work, {});
+    if (parent != 0) return child_done(parent, true, attempt.deep_work);
     after(deployment_.client_hop, [this, request, work = attempt.deep_work] { answer_caller(request, work); });
   }
 
@@ -467,12 +445,12 @@
     ++crashes_;
     server.down = true;
     std::vector<std::uint64_t> lost = server.running;
-    std::vector<PolicyCall> calls;
-    for (const std::uint64_t call : lost) calls.push_back(attempts_.find(call)->call);
     lost.insert(lost.end(), server.backlog.begin(), server.backlog.end());
     server.backlog.clear();
-    policy_.crash(index, calls);
-    for (const std::uint64_t call : lost) end_attempt(call, {.ok = false}, core::may_have_run(core::Cause::kCrashed));
+    policy_.crash(index);
+    for (const std::uint64_t call : lost) {
+      if (!attempts_.find(call)->ended) end_attempt(call, {.crashed = true});
+    }
     after(kRestart, [this, index] {
       servers_[static_cast<std::size_t>(index)].down = false;
       servers_[static_cast<std::size_t>(index)].cold_until = now_ + kColdTime;
@@ -544,7 +522,6 @@
   std::deque<Request> requests_;
   Pool<Hop> hops_;
   Pool<Attempt> attempts_;
-  Level verdict_level_;
   std::array<int, core::kImportanceCount> issued_{};
   std::array<int, core::kImportanceCount> good_{};
   std::vector<Bin> bins_;
--- a/test/support/policy_fixture.h
+++ b/test/support/policy_fixture.h
@@ -15,7 +15,6 @@
 #include <string>
 #include <vector>
 
-#include "damaskthread/admission/arrival.h"
 #include "damaskthread/admission/level.h"
 #include "damaskthread/core/types.h"
 #include "damaskthread/core/verdict.h"
@@ -103,22 +102,49 @@
   std::uint64_t events = 0;
 };
 
-/// A call as a policy sees it.
+/// One side of a call as a policy sees it.
 struct PolicyCall {
+  /// Handle of the sending side, or of the try at a server.
+  std::uint64_t id = 0;
+  /// Handle of the try whose server makes this call; zero for a call from outside.
+  std::uint64_t parent = 0;
+  int operation = 0;
   int service = 0;
   int server = 0;
   /// Index of the daemon that sends it; every server has one.
   int daemon = 0;
-  int depth = 0;
-  core::Importance importance = core::Importance::kNormal;
-  std::uint64_t request_hash = 0;
   std::uint64_t fingerprint = 0;
   TimePoint deadline;
   /// Retries made for this call.
   int retries = 0;
-  /// Handle to be named in events.
-  std::uint64_t id = 0;
-  admission::Ticket ticket;
+};
+
+struct HopStep {
+  enum class Kind { kSend, kWait, kFail };
+  Kind kind = Kind::kFail;
+  int server = 0;
+  Duration delay{0};
+};
+
+/// Outcome of one try as the sending daemon sees it.
+struct HopAnswer {
+  bool ok = false;
+  bool timed_out = false;
+  core::Verdict verdict{};
+  admission::Level level{};
+  int unspent = 0;
+  Duration latency{0};
+  /// Time for which the server's daemon holds the answer back.
+  Duration hold{0};
+};
+
+/// How a call ended at its server.
+struct ServerOutcome {
+  bool ok = false;
+  bool crashed = false;
+  /// The server refused the call or was not there; it did not run.
+  bool refused = false;
+  Duration latency{0};
 };
 
 /// What a policy may ask of the fixture.
@@ -126,7 +152,7 @@
  public:
   virtual ~PolicyHost() = default;
   virtual void start_call(std::uint64_t id) = 0;
-  virtual void refuse_call(std::uint64_t id, core::Verdict verdict) = 0;
+  virtual void refuse_call(std::uint64_t id, const HopAnswer& answer) = 0;
   virtual void after(Duration delay, std::function<void()> action) = 0;
   [[nodiscard]] virtual TimePoint now() const = 0;
   [[nodiscard]] virtual core::Random& random() = 0;
@@ -139,26 +165,33 @@
   virtual void set_up(const Deployment& deployment, const Scenario& scenario, PolicyHost& host);
   /// @return Whether calls carry the deadline of their request.
   [[nodiscard]] virtual bool carries_deadline() const { return false; }
-  /// @brief Whether the entrance sends a request on.
-  [[nodiscard]] virtual bool admits(const PolicyCall& /*call*/) { return true; }
-  /// @return The server to try, or -1.
-  [[nodiscard]] virtual int choose(const PolicyCall& call, std::span<const int> tried);
+
+  /// @brief A call enters its daemon.
+  [[nodiscard]] virtual HopStep begin(const PolicyCall& hop) { return choose(hop); }
+  /// @brief A try is on its way.
+  virtual void sent(const PolicyCall& /*hop*/, std::uint64_t /*attempt*/) {}
+  /// @brief A try has failed or timed out, or is answered.
+  /// @return The next step; not looked at if the answer is whole.
+  [[nodiscard]] virtual HopStep answered(const PolicyCall& hop, const HopAnswer& answer);
+  /// @brief Goes on after a wait.
+  [[nodiscard]] virtual HopStep resume(const PolicyCall& hop) { return choose(hop); }
+  virtual void end_hop(const PolicyCall& /*hop*/) {}
+
   /// @brief A call reaches a server; to be answered with `start_call` or `refuse_call`, now or later.
-  virtual void arrive(PolicyCall& call) { host_->start_call(call.id); }
+  virtual void arrive(const PolicyCall& call) { host_->start_call(call.id); }
   /// @brief A started call ends at its server.
-  virtual void finish(const PolicyCall& /*call*/, const admission::CallResult& /*result*/) {}
-  /// @brief A server crashed while these calls ran.
-  virtual void crash(int /*server*/, std::span<const PolicyCall> /*running*/) {}
-  /// @return The level that a server puts on its answers.
-  [[nodiscard]] virtual admission::Level level(int /*server*/) { return {}; }
-  /// @brief An answer with the highest level of its subtree reaches the sending daemon.
-  virtual void answered(const PolicyCall& /*call*/, admission::Level /*level*/, core::Verdict /*verdict*/,
-                        bool /*ok*/) {}
-  /// @brief Whether a failed call is tried again at this hop.
-  [[nodiscard]] virtual bool retry(const PolicyCall& /*call*/, core::Verdict /*verdict*/) { return false; }
-  virtual void sent(const PolicyCall& /*call*/) {}
+  /// @return The answer to its caller.
+  [[nodiscard]] virtual HopAnswer finish(const PolicyCall& /*call*/, const ServerOutcome& outcome) {
+    return {.ok = outcome.ok};
+  }
+  /// @brief A server crashed; the calls that ran there end next.
+  virtual void crash(int /*server*/) {}
 
  protected:
+  /// @brief Whether a failed call is tried again at this hop.
+  [[nodiscard]] virtual bool retry(const PolicyCall& /*call*/) { return false; }
+  [[nodiscard]] HopStep choose(const PolicyCall& hop);
+
   /// @brief Index of the first server of a service; the servers of all services are numbered in order.
   [[nodiscard]] int first_server(int service) const { return first_server_[static_cast<std::size_t>(service)]; }
   [[nodiscard]] int server_count() const { return first_server_.back(); }
@@ -176,6 +209,8 @@
 
 enum class PolicyKind { kNone, kFixed, kAdaptive, kDamaskthread };
 [[nodiscard]] std::unique_ptr<Policy> make_policy(PolicyKind kind);
+/// @brief The policy that runs the engine of the daemons.
+[[nodiscard]] std::unique_ptr<Policy> make_damaskthread_policy();
 
 /// @brief Runs one scenario; the result depends on its arguments only.
 [[nodiscard]] Result run(const Deployment& deployment, const Scenario& scenario, Policy& policy);
