Check the entrance gate at the entrance only

Cause: the engine checked the gate for the calls of running requests too, with the current level; the refusal reached no server, so the level was lost upstream and the entrance kept admitting requests that failed deep in the chain. Change: calls with a parent pass the gate; the server decides with the lowest threshold of its last windows.

--- a/src/damaskthread/engine/outbound_call.cc
+++ b/src/damaskthread/engine/outbound_call.cc
@@ -160,7 +160,9 @@
     return refuse(core::not_run(Cause::kQuarantined));
   }
   if (std::optional<Step> step = read_token()) return std::move(*step);
-  if (!node_.gate_.admits(gate_key(), arrival_, now)) {
+  // Only at the entrance: a call that continues a request has cost work already, and its server holds it against an
+  // earlier, lower threshold. Refusing it here would also hide the server's level from the request's other callers.
+  if (!parent_ && !node_.gate_.admits(gate_key(), arrival_, now)) {
     return refuse(core::not_run(Cause::kFullEverywhere, kGateRetryAfter));
   }
   state_->ratio.on_call();
