Count the daemons that call a service in the policy fixture

Cause: the fixture told the router that all daemons call every service, so that its share of connections ran out and a router refused with no-server; only the daemons beside the calling servers do. Change: the callers are taken from the declared graphs.

--- a/test/support/damaskthread_policy.cc
+++ b/test/support/damaskthread_policy.cc
@@ -191,21 +191,43 @@
     host_->after(kTick, [this] { tick(); });
   }
 
+  static bool calls(const CallSpec& call, int caller, int callee) {
+    return std::any_of(call.children.begin(), call.children.end(), [&](const CallSpec& child) {
+      return (call.service == caller && child.service == callee) || calls(child, caller, callee);
+    });
+  }
+
+  /// Daemons that call a service: all of them if callers from outside do, else those beside the calling servers.
+  int callers_of(int service) const {
+    int sum = 0;
+    for (const OperationSpec& operation : deployment_->operations) {
+      if (operation.root.service == service) return server_count();
+    }
+    for (std::size_t caller = 0; caller < deployment_->services.size(); ++caller) {
+      const bool any = std::any_of(
+          deployment_->operations.begin(), deployment_->operations.end(),
+          [&](const OperationSpec& operation) { return calls(operation.root, static_cast<int>(caller), service); });
+      if (any) sum += deployment_->services[caller].servers;
+    }
+    return sum;
+  }
+
   void update_members() {
-    const int all = server_count();
-    for (std::size_t i = 0; i < deployment_->services.size(); ++i) {
-      const ServiceSpec& service = deployment_->services[i];
+    for (int service = 0; service < static_cast<int>(deployment_->services.size()); ++service) {
+      const ServiceSpec& spec = spec_of(service);
+      const int callers = callers_of(service);
       std::vector<routing::ServerInfo> servers;
-      for (int k = 0; k < service.servers; ++k) {
-        const auto id = static_cast<std::uint64_t>(first_server(static_cast<int>(i)) + k + 1);
+      for (int k = 0; k < spec.servers; ++k) {
+        const auto id = static_cast<std::uint64_t>(first_server(service) + k + 1);
         servers.push_back({.id = {id},
                            .incarnation = {id},
                            .zone = static_cast<std::uint32_t>(k % 3),
-                           .slots = service.slots,
-                           .connections = service.connections});
+                           .slots = spec.slots,
+                           .connections = spec.connections});
       }
       for (const auto& node : nodes_) {
-        node->set_servers(service.name, servers, {.zone = (all + 2) / 3, .region = all, .all = all}, host_->now());
+        node->set_servers(spec.name, servers, {.zone = (callers + 2) / 3, .region = callers, .all = callers},
+                          host_->now());
       }
     }
     host_->after(kMembershipPeriod, [this] { update_members(); });
