--- a/src/damaskthread/replication/replication.cc
+++ b/src/damaskthread/replication/replication.cc
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <unordered_set>
 
 namespace damaskthread::replication {
 namespace {
@@ -54,15 +53,17 @@
   std::erase_if(peers_, [&](const auto& item) { return !living.contains(item.first); });
 }
 
-void Replication::hear(Peer& peer, const wire::ConfigDigest& digest, core::TimePoint now) const {
+void Replication::hear(core::ServerId id, Peer& peer, const wire::ConfigDigest& digest, core::TimePoint now) {
   // Messages may overtake each other; a daemon's configuration never goes back within an incarnation.
   if (peer.digest && digest < *peer.digest) return;
   peer.digest = digest;
   peer.heard = now;
+  highest_heard_ = std::max(highest_heard_, digest.revision);
   if (digest.revision >= source_.revision()) {
     peer.behind_since.reset();
   } else if (!peer.behind_since) {
     peer.behind_since = now;
+    watched_.insert(id);
   }
 }
 
@@ -77,7 +78,7 @@
   const auto found = peers_.find(sender.id);
   if (found == peers_.end() || found->second.incarnation != sender.incarnation) return out;
   if (message.digest) {
-    hear(found->second, *message.digest, now);
+    hear(sender.id, found->second, *message.digest, now);
     if (!fetch_ && worth_fetching(*message.digest, now)) fetch(sender.id, false, now, out);
   }
   if (const auto* request = std::get_if<wire::ConfigRequest>(&message.body)) {
@@ -208,22 +209,32 @@
                         .behind = std::chrono::duration_cast<std::chrono::milliseconds>(behind)});
 }
 
+void Replication::retry(core::TimePoint now, core::Random& random, std::vector<wire::Outgoing>& out) {
+  std::vector<core::ServerId> ahead;
+  const std::uint64_t revision = source_.revision();
+  for (const auto& [id, peer] : peers_) {
+    if (peer.digest && peer.digest->revision > revision) ahead.push_back(id);
+  }
+  if (ahead.empty()) {
+    highest_heard_ = revision;
+    return;
+  }
+  fetch(ahead[std::uniform_int_distribution<std::size_t>{0, ahead.size() - 1}(random)], false, now, out);
+}
+
 std::vector<wire::Outgoing> Replication::tick(core::TimePoint now, core::Random& random) {
   std::vector<wire::Outgoing> out;
   if (fetch_ && now - fetch_->sent >= options_.request_timeout) {
     ++counters_.timeouts;
     fetch_.reset();
   }
-  std::vector<core::ServerId> ahead;
-  const std::uint64_t revision = source_.revision();
-  for (auto& [id, peer] : peers_) {
-    if (!peer.digest) continue;
-    if (peer.behind_since || peer.lag_noted) note_lag(id, peer, now);
-    if (!fetch_ && peer.digest->revision > revision) ahead.push_back(id);
-  }
-  if (!ahead.empty()) {
-    fetch(ahead[std::uniform_int_distribution<std::size_t>{0, ahead.size() - 1}(random)], false, now, out);
-  }
+  if (!fetch_ && highest_heard_ > source_.revision()) retry(now, random, out);
+  std::erase_if(watched_, [&](core::ServerId id) {
+    const auto peer = peers_.find(id);
+    if (peer == peers_.end()) return true;
+    note_lag(id, peer->second, now);
+    return !peer->second.behind_since && !peer->second.lag_noted;
+  });
   return out;
 }
 
--- a/src/damaskthread/replication/replication.h
+++ b/src/damaskthread/replication/replication.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -137,7 +138,8 @@
     std::string bytes;
   };
 
-  void hear(Peer& peer, const wire::ConfigDigest& digest, core::TimePoint now) const;
+  void hear(core::ServerId id, Peer& peer, const wire::ConfigDigest& digest, core::TimePoint now);
+  void retry(core::TimePoint now, core::Random& random, std::vector<wire::Outgoing>& out);
   void note_lag(core::ServerId id, Peer& peer, core::TimePoint now);
   [[nodiscard]] bool worth_fetching(const wire::ConfigDigest& digest, core::TimePoint now) const;
   void fetch(core::ServerId id, bool state, core::TimePoint now, std::vector<wire::Outgoing>& out);
@@ -154,6 +156,8 @@
   Options options_;
   bool polls_log_ = true;
   std::unordered_map<core::ServerId, Peer> peers_;
+  std::unordered_set<core::ServerId> watched_;  ///< Peers that are behind or noted as such.
+  std::uint64_t highest_heard_ = 0;             ///< Revision; spares the search for peers that are ahead.
   std::optional<Fetch> fetch_;
   std::optional<core::TimePoint> offset_fetched_;
   std::optional<Payload> state_cache_;
