Test the control side and let seeds join separate groups early

Cause: no tests yet. They show that a cold start through two seeds leaves two groups for 30 s, that a probe of the last member dereferences an empty ring, and that a daemon back from isolation ends a suspicion that nobody was told of. Change: property and scenario tests over a virtual network; seeds that are not members are asked every 3 s in the first minute; the end of isolation notifies suspects again; the empty ring is checked. Conclusion: faults found by the tests are fixed.

--- a/benchmark/control.cc
+++ b/benchmark/control.cc
@@ -168,8 +168,13 @@
   for (std::size_t i = 0; i < members; ++i) {
     auto info = std::make_shared<wire::MemberInfo>(one.node(0).info);
     info->control_address = "10.9." + std::to_string(i / 256) + '.' + std::to_string(i % 256) + ":8003";
-    state.deltas.push_back({.id = {i + 1}, .incarnation = {i + 1}, .refutation = 0, .health = {}, .leaving = false,
-                            .suspected_for = {}, .info = std::move(info)});
+    state.deltas.push_back({.id = {i + 1},
+                            .incarnation = {i + 1},
+                            .refutation = 0,
+                            .health = {},
+                            .leaving = false,
+                            .suspected_for = {},
+                            .info = std::move(info)});
     if (state.deltas.size() < 100 && i + 1 < members) continue;
     one.inject(0, introducer.seal(state));
     state.deltas.clear();
--- a/src/damaskthread/membership/member_table.cc
+++ b/src/damaskthread/membership/member_table.cc
@@ -199,6 +199,13 @@
   return at != by_address_.end() && at->second != entry.member.id;
 }
 
+bool MemberTable::living_at(const std::string& address) const {
+  const auto at = by_address_.find(address);
+  if (at == by_address_.end()) return false;
+  const Entry* entry = find(at->second);
+  return entry != nullptr && entry->health != Health::kDead;
+}
+
 void MemberTable::expire(core::TimePoint now) {
   while (!dead_.empty()) {
     const Entry* oldest = find(dead_.front());
--- a/src/damaskthread/membership/member_table.h
+++ b/src/damaskthread/membership/member_table.h
@@ -75,6 +75,8 @@
   void restart_suspicions(core::TimePoint now);
   /// @brief Whether a server with a newer incarnation is at the address of a member.
   [[nodiscard]] bool displaced(const Entry& entry) const;
+  /// @brief Whether a member that is not held to be dead has this control address.
+  [[nodiscard]] bool living_at(const std::string& address) const;
 
   /// @brief Forgets dead members past the retention or beyond the bound.
   void expire(core::TimePoint now);
--- a/src/damaskthread/membership/membership.cc
+++ b/src/damaskthread/membership/membership.cc
@@ -75,7 +75,7 @@
     const auto phase = std::uniform_int_distribution<std::int64_t>{0, options_.probe_period.count()}(random);
     next_probe_ = now_ + core::Duration{phase};
     next_dead_probe_ = now_ + options_.dead_probe_period;
-    next_seed_ = now_ + std::chrono::seconds{30};
+    next_seed_ = now_ + options_.probe_period;
   }
   join(random, out);
   check_probes(random, out);
@@ -104,7 +104,7 @@
     ++counters_.stale_messages;
     return out;
   }
-  if (isolated(now)) table_.restart_suspicions(now_);
+  if (isolated(now)) end_isolation(out);
   last_heard_ = now_;
   silent_failures_ = 0;
 
--- a/src/damaskthread/membership/membership.h
+++ b/src/damaskthread/membership/membership.h
@@ -135,7 +135,10 @@
   void check_probes(core::Random& random, Out& out);
   void ask_proxies(const Probe& probe, core::Random& random, Out& out);
   void probe_failed(const Probe& probe, Out& out);
+  // Gives a suspect the chance to refute at once.
+  void notify_suspect(const Entry& entry, Out& out) const;
   void end_suspicions();
+  void end_isolation(Out& out);
   void probe_next(core::Random& random, Out& out);
   void probe_dead(core::Random& random, Out& out);
   void verify_claims(Out& out);
@@ -203,6 +206,7 @@
   core::TimePoint next_sync_{};
   core::TimePoint next_seed_{};
   std::size_t rotation_ = 0;
+  std::size_t join_turn_ = 0;
 
   std::unordered_map<std::uint64_t, Mark> marks_;  ///< By fingerprint and origin.
   std::deque<std::uint64_t> mark_order_;
--- a/src/damaskthread/membership/probing.cc
+++ b/src/damaskthread/membership/probing.cc
@@ -97,7 +97,7 @@
       failed.push_back(probe);
     } else if (!probe.indirect && !probe.of_dead && elapsed >= widened(options_.direct_timeout)) {
       probe.indirect = true;
-      if (table_.find(probe.target) == nullptr) continue;
+      if (table_.find(probe.target) == nullptr || table_.ring().empty()) continue;
       ask_proxies(probe, random, out);
       // The target may not have answered because it does not know this daemon.
       send_ping(probe.number, probe.target, true, nullptr, out);
@@ -148,9 +148,24 @@
   ++counters_.suspicions;
   updates_.push(probe.target, sends());
   next_gossip_ = now_;
+  notify_suspect(*entry, out);
+}
+
+void Membership::notify_suspect(const Entry& entry, Out& out) const {
   wire::Message notice = message(wire::Gossip{});
-  notice.deltas.push_back(std::move(claim));
-  out.push_back({entry->member.info->control_address, std::move(notice)});
+  notice.deltas.push_back(MemberTable::delta_of(entry, false, now_));
+  out.push_back({entry.member.info->control_address, std::move(notice)});
+}
+
+void Membership::end_isolation(Out& out) {
+  // Probes and news that went out during the silence reached nobody.
+  probes_.clear();
+  table_.restart_suspicions(now_);
+  for (const core::ServerId id : table_.suspects()) {
+    updates_.push(id, sends());
+    notify_suspect(*table_.find(id), out);
+  }
+  if (leaving_) updates_.push(self_.id, sends());
 }
 
 void Membership::end_suspicions() {
--- a/src/damaskthread/membership/sync.cc
+++ b/src/damaskthread/membership/sync.cc
@@ -15,6 +15,9 @@
 constexpr core::Duration kJoinPeriod = std::chrono::seconds{1};
 // A seed that is not a living member may be in a part of the fleet that this daemon has never met.
 constexpr core::Duration kSeedPeriod = std::chrono::seconds{30};
+// After a start of the whole fleet, groups form around each seed and meet only through the seeds.
+constexpr core::Duration kStartSeedPeriod = std::chrono::seconds{3};
+constexpr core::Duration kStart = std::chrono::minutes{1};
 constexpr std::size_t kSampleMembers = 8;
 // Leaves room for the envelope of a message with members.
 constexpr std::size_t kMaxMembersBytes = wire::kMaxMessageBytes - 1024;
@@ -24,9 +27,12 @@
 }  // namespace
 
 void Membership::ask_seed(core::Random& random, Out& out) {
-  if (seeds_.empty()) return;
-  const std::string& seed = seeds_[std::uniform_int_distribution<std::size_t>{0, seeds_.size() - 1}(random)];
-  if (seed == info_->control_address) return;
+  std::vector<std::string_view> unmet;
+  for (const std::string& seed : seeds_) {
+    if (seed != info_->control_address && !table_.living_at(seed)) unmet.push_back(seed);
+  }
+  if (unmet.empty()) return;
+  const std::string seed{unmet[std::uniform_int_distribution<std::size_t>{0, unmet.size() - 1}(random)]};
   wire::Message request = message(wire::MembersRequest{.all = false});
   request.deltas.push_back(self_delta(true));
   out.push_back({seed, std::move(request)});
@@ -35,14 +41,13 @@
 void Membership::join(core::Random& random, Out& out) {
   if (joined_ && !table_.ring().empty()) {
     if (next_seed_ > now_) return;
-    next_seed_ = now_ + kSeedPeriod;
-    if (!seeds_.empty()) ask_seed(random, out);
-    return;
+    next_seed_ = now_ + (now_ - started_ < kStart ? kStartSeedPeriod : kSeedPeriod);
+    return ask_seed(random, out);
   }
   if (next_join_ > now_) return;
   next_join_ = now_ + kJoinPeriod;
   // Half of the tries go to the seeds even if members are known, since those may be gone.
-  if (table_.ring().empty() || rotation_++ % 2 == 1) return ask_seed(random, out);
+  if (table_.ring().empty() || join_turn_++ % 2 == 1) return ask_seed(random, out);
   wire::Message request = message(wire::MembersRequest{.all = true});
   request.deltas.push_back(self_delta(true));
   out.push_back({address_of(random_member(random)), std::move(request)});
@@ -167,6 +172,8 @@
 void Membership::handle(const wire::Sender& sender, const wire::MemberState& body, const wire::Message& message,
                         Out& out) {
   joined_ = joined_ || body.all;
+  // The sample of a seed names members that can be asked for all.
+  if (!joined_) next_join_ = now_;
   const std::string address = address_of(sender.id);
   if (body.wanted.empty() || address.empty()) return;
   static_cast<void>(message);
--- a/src/damaskthread/replication/replication.h
+++ b/src/damaskthread/replication/replication.h
@@ -65,9 +65,9 @@
   /// second.
   core::Duration fresh = std::chrono::seconds{5};
   /// Records asked for at once.
-  std::size_t records_bytes = 48 * 1024;
+  std::size_t records_bytes = std::size_t{48} * 1024;
   /// Bound on a state that is put together from parts: 230 services with the largest declaration fit.
-  std::size_t max_transfer_bytes = 32 * 1024 * 1024;
+  std::size_t max_transfer_bytes = std::size_t{32} * 1024 * 1024;
 };
 
 /// What is known about the configuration of one member.
--- a/src/damaskthread/wire/message.h
+++ b/src/damaskthread/wire/message.h
@@ -23,9 +23,9 @@
 /// Bound on a sealed message that nobody asked for; it fits one IP packet.
 inline constexpr std::size_t kMaxDatagramBytes = 1200;
 /// Bound on any sealed message. Only answers to a request may exceed kMaxDatagramBytes.
-inline constexpr std::size_t kMaxMessageBytes = 64 * 1024;
+inline constexpr std::size_t kMaxMessageBytes = std::size_t{64} * 1024;
 /// Payload of one configuration chunk; leaves room for the envelope.
-inline constexpr std::size_t kMaxChunkBytes = 60 * 1024;
+inline constexpr std::size_t kMaxChunkBytes = std::size_t{60} * 1024;
 /// Number of buckets that the members are split into for the comparison of two views.
 inline constexpr std::size_t kViewBuckets = 64;
 
--- /dev/null
+++ b/test/damaskthread/membership/membership_test.cc
@@ -0,0 +1,294 @@
+#include "damaskthread/membership/membership.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "support/control_network.h"
+
+namespace damaskthread::membership {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+using test::ControlNetwork;
+using test::make_fleet;
+using test::NetworkOptions;
+
+bool known_dead(ControlNetwork& network, std::size_t victim) {
+  for (std::size_t i = 0; i < network.size(); ++i) {
+    if (!network.node(i).running || i == victim) continue;
+    const auto member = network.view(i, victim);
+    if (member && member->state != State::kDead) return false;
+  }
+  return true;
+}
+
+std::uint64_t deaths_declared(ControlNetwork& network) {
+  std::uint64_t deaths = 0;
+  for (std::size_t i = 0; i < network.size(); ++i) deaths += network.node(i).membership->counters().deaths;
+  return deaths;
+}
+
+// Fails the run when a view goes back to an older incarnation, or from leaving to available within one.
+class Watch {
+ public:
+  explicit Watch(ControlNetwork& network) {
+    network.on_view_change([this, &network](std::size_t of) {
+      for (const Member& member : network.node(of).membership->members()) {
+        auto& seen = seen_[{of, network.node(of).life, member.id.value}];
+        went_back = went_back || member.incarnation < seen.first;
+        if (member.incarnation > seen.first) seen = {member.incarnation, false};
+        came_back = came_back || (seen.second && member.available());
+        seen.second = seen.second || member.state == State::kLeaving;
+      }
+    });
+  }
+  bool went_back = false;
+  bool came_back = false;
+
+ private:
+  std::map<std::tuple<std::size_t, std::uint64_t, std::uint64_t>, std::pair<core::Incarnation, bool>> seen_;
+};
+
+}  // namespace
+
+// Guards against a fleet that starts at once and falls into parts that never meet.
+TEST_CASE("a cold start through two seeds converges") {
+  ControlNetwork network{1};
+  for (std::size_t i = 0; i < 60; ++i)
+    network.add({}, i < 2 ? std::vector<std::size_t>{i} : std::vector<std::size_t>{});
+  const auto took = network.run_until([&] { return network.converged(); }, seconds{30});
+  REQUIRE(took);
+  CHECK(deaths_declared(network) == 0);
+  const std::size_t newcomer = network.add({}, {});
+  CHECK(network.run_until([&] { return network.converged(); }, seconds{10}));
+  CHECK(network.node(newcomer).membership->joined());
+}
+
+// Guards against a death that callers learn too late (target: 5 s).
+TEST_CASE("a death is known everywhere in 5 s") {
+  auto network = make_fleet(2, 200, 5, 1, 10);
+  network->run(seconds{3});
+  for (std::size_t victim = 10; victim < 40; victim += 3) {
+    network->kill(victim);
+    CHECK(network->run_until([&] { return known_dead(*network, victim); }, seconds{5}));
+  }
+}
+
+// Guards against new work for a leaving server after 3 s (P6), with messages lost.
+TEST_CASE("leaving is known everywhere in 3 s and stays known") {
+  NetworkOptions options;
+  options.loss = 0.02;
+  auto network = make_fleet(3, 300, 5, 1, 10, options);
+  network->run(seconds{3});
+  Watch watch{*network};
+  for (std::size_t node = 5; node < 50; node += 5) {
+    network->node(node).membership->announce_leaving();
+    const auto took = network->run_until(
+        [&] {
+          for (std::size_t i = 0; i < network->size(); ++i) {
+            const auto member = network->view(i, node);
+            if (!member || member->available()) return false;
+          }
+          return true;
+        },
+        seconds{3});
+    CHECK(took);
+  }
+  network->run(seconds{20});
+  CHECK_FALSE(watch.came_back);
+}
+
+// Guards against false deaths where 2 in 100 messages are lost.
+TEST_CASE("loss alone kills nobody") {
+  NetworkOptions options;
+  options.loss = 0.02;
+  options.duplicate = 0.02;
+  auto network = make_fleet(4, 150, 5, 3, 10, options);
+  network->run(minutes{3});
+  CHECK(deaths_declared(*network) == 0);
+}
+
+// Guards against a daemon that wakes from a pause and takes its own silence for the death of all others.
+TEST_CASE("a paused daemon declares nobody dead and refutes its own death") {
+  auto network = make_fleet(5, 40, 4, 1, 4);
+  network->run(seconds{3});
+  network->pause(7);
+  network->run(seconds{60});
+  CHECK(known_dead(*network, 7));
+  network->resume(7);
+  const auto took = network->run_until([&] { return network->converged(); }, seconds{15});
+  CHECK(took);
+  CHECK(network->node(7).membership->counters().deaths == 0);
+  CHECK(network->node(7).membership->counters().pauses == 1);
+  CHECK(network->node(7).membership->find(network->node(7).id)->refutation > 0);
+}
+
+// Guards against pauses too short to be noticed by others that still end timers of the paused daemon.
+TEST_CASE("a daemon that stutters declares nobody dead") {
+  auto network = make_fleet(6, 40, 4, 1, 4);
+  network->run(seconds{3});
+  for (int i = 0; i < 20; ++i) {
+    network->pause(7);
+    network->run(milliseconds{1700});
+    network->resume(7);
+    network->run(milliseconds{600});
+  }
+  CHECK(deaths_declared(*network) == 0);
+}
+
+// Guards against a member that is declared dead because one other cannot reach it.
+TEST_CASE("asymmetric loss between two members is bridged by proxies") {
+  auto network = make_fleet(7, 30, 3, 1, 3);
+  network->block([](std::size_t from, std::size_t to) { return from == 3 && to < 10; });
+  network->run(minutes{2});
+  CHECK(deaths_declared(*network) == 0);
+}
+
+// Guards against a cut-off daemon that empties its own view.
+TEST_CASE("an isolated daemon keeps its view") {
+  auto network = make_fleet(8, 40, 4, 1, 4);
+  network->run(seconds{3});
+  network->block([](std::size_t from, std::size_t to) { return from == 7 || to == 7; });
+  network->run(minutes{5});
+  auto& membership = *network->node(7).membership;
+  CHECK(membership.isolated(network->now()));
+  CHECK(membership.living() == 39);
+  CHECK(known_dead(*network, 7));
+  network->block({});
+  CHECK(network->run_until([&] { return network->converged(); }, seconds{30}));
+  CHECK(membership.counters().deaths == 0);
+}
+
+// Guards against a lost failure domain that takes healthy members with it or is noticed late.
+TEST_CASE("a failure domain that vanishes is known dead and the rest stays") {
+  auto network = make_fleet(9, 110, 11, 3, 10);
+  network->run(seconds{3});
+  for (std::size_t i = 4; i < 110; i += 11) network->kill(i);
+  CHECK(network->run_until([&] { return network->converged(); }, seconds{10}));
+}
+
+// Guards against regions that never meet again, and against the merge itself killing members in either half.
+TEST_CASE("regions parted for an hour meet again without a death") {
+  auto network = make_fleet(10, 60, 6, 3, 6);
+  network->run(seconds{3});
+  const auto side = [](std::size_t node) { return node % 6 % 3 == 0; };
+  network->block([side](std::size_t from, std::size_t to) { return side(from) != side(to); });
+  network->run(minutes{60});
+  CHECK(network->view(0, 1)->state == State::kDead);
+  CHECK(network->view(0, 3)->state == State::kAlive);
+  const std::uint64_t before = deaths_declared(*network);
+  network->block({});
+  CHECK(network->run_until([&] { return network->converged(); }, seconds{60}));
+  network->run(seconds{30});
+  CHECK(deaths_declared(*network) == before);
+}
+
+// Guards against a restarted server that is held dead, or its predecessor that is held alive.
+TEST_CASE("restarts of half a service and replaced servers converge") {
+  auto network = make_fleet(11, 80, 4, 1, 2);
+  network->run(seconds{3});
+  Watch watch{*network};
+  for (std::size_t i = 0; i < 80; i += 8) network->restart(i);
+  for (std::size_t i = 1; i < 80; i += 16) network->replace(i);
+  CHECK(network->run_until([&] { return network->converged(); }, seconds{15}));
+  CHECK_FALSE(watch.went_back);
+}
+
+// Guards against recorded messages that are played again to undo a death.
+TEST_CASE("replayed messages change nothing") {
+  auto network = make_fleet(12, 20, 2, 1, 2);
+  std::vector<std::string> recorded;
+  network->on_send([&](std::size_t from, const std::string& bytes) {
+    if (from == 4) recorded.push_back(bytes);
+  });
+  network->run(seconds{10});
+  network->on_send({});
+  network->kill(4);
+  REQUIRE(network->run_until([&] { return known_dead(*network, 4); }, seconds{6}));
+  for (std::size_t i = 0; i < network->size(); ++i) {
+    for (const std::string& bytes : recorded) network->inject(i, bytes);
+  }
+  network->run(seconds{10});
+  CHECK(known_dead(*network, 4));
+}
+
+// Guards against a crash mark that does not reach every daemon within 2 s or is delivered twice.
+TEST_CASE("crash marks spread once to everybody") {
+  auto network = make_fleet(13, 200, 5, 1, 10);
+  network->run(seconds{3});
+  const core::ServerId origin = network->node(0).id;
+  network->node(0).membership->spread({wire::CrashMark{.fingerprint = 42, .crashes = 1, .origin = origin, .age = {}}},
+                                      network->now());
+  network->run(seconds{2});
+  for (std::size_t i = 1; i < network->size(); ++i) {
+    const auto marks = network->node(i).membership->take_marks();
+    REQUIRE(marks.size() == 1);
+    CHECK(marks[0].fingerprint == 42);
+  }
+}
+
+// Guards against a schedule of faults after which views differ for good, show an older incarnation or forget that a
+// server is leaving. Datagrams keep their bound throughout.
+TEST_CASE("random schedules of faults converge") {
+  CHECK(rc::check("schedule", [] {
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const auto nodes = *rc::gen::inRange<std::size_t>(5, 24);
+    auto network = make_fleet(seed, nodes, 3, 2, 3);
+    // A process does not restart within the millisecond that its incarnation counts in.
+    network->run(milliseconds{10});
+    Watch watch{*network};
+    core::Random random{seed + 1};
+    const auto pick = [&] { return static_cast<std::size_t>(random() % nodes); };
+    for (int step = *rc::gen::inRange(1, 12); step > 0; --step) {
+      switch (*rc::gen::inRange(0, 8)) {
+        case 0:
+          network->set_loss(0.3);
+          break;
+        case 1:
+          network->set_duplicate(0.3);
+          break;
+        case 2:
+          network->pause(pick());
+          break;
+        case 3:
+          network->restart(pick());
+          break;
+        case 4:
+          network->replace(pick());
+          break;
+        case 5: {
+          const std::size_t cut = pick();
+          network->block([cut](std::size_t from, std::size_t to) { return (from < cut) != (to < cut); });
+          break;
+        }
+        case 6:
+          network->node(pick()).membership->announce_leaving();
+          break;
+        default: {
+          const std::size_t deaf = pick();
+          network->block([deaf](std::size_t, std::size_t to) { return to == deaf; });
+        }
+      }
+      network->run(milliseconds{*rc::gen::inRange(10, 9000)});
+    }
+    network->set_loss(0);
+    network->set_duplicate(0);
+    network->block({});
+    for (std::size_t i = 0; i < nodes; ++i) network->resume(i);
+    RC_ASSERT(network->run_until([&] { return network->converged(); }, minutes{2}).has_value());
+    RC_ASSERT(!watch.went_back);
+    RC_ASSERT(!watch.came_back);
+    for (std::size_t i = 0; i < nodes; ++i) {
+      RC_ASSERT(network->node(i).largest_datagram <= wire::kMaxDatagramBytes);
+    }
+  }));
+}
+
+}  // namespace damaskthread::membership
--- /dev/null
+++ b/test/damaskthread/replication/replication_test.cc
@@ -0,0 +1,182 @@
+#include "damaskthread/replication/replication.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "support/control_network.h"
+
+namespace damaskthread::replication {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+using test::ControlNetwork;
+using test::make_fleet;
+using test::NetworkOptions;
+
+void append(ControlNetwork& network, bool accepted = true, std::size_t bytes = 300) {
+  network.log().records.push_back({.accepted = accepted, .bytes = bytes});
+}
+
+std::uint64_t accepted(ControlNetwork& network) {
+  std::uint64_t count = 0;
+  for (const auto& record : network.log().records) count += record.accepted ? 1 : 0;
+  return count;
+}
+
+bool in_force(ControlNetwork& network) {
+  for (std::size_t i = 0; i < network.size(); ++i) {
+    if (network.node(i).running && network.node(i).config->revision() != accepted(network)) return false;
+  }
+  return true;
+}
+
+bool moved_back(ControlNetwork& network) {
+  for (std::size_t i = 0; i < network.size(); ++i) {
+    if (network.node(i).config->moved_back) return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+// Guards against a log that every daemon polls, or a failure domain in which none does.
+TEST_CASE("three daemons per failure domain poll the log") {
+  auto network = make_fleet(1, 110, 11, 3, 10);
+  network->run(seconds{1});
+  const auto pollers = [&] {
+    std::map<std::string, int> count;
+    for (std::size_t i = 0; i < network->size(); ++i) {
+      if (network->node(i).running && network->node(i).replication->polls_log()) ++count[network->node(i).info.zone];
+    }
+    return count;
+  };
+  for (const auto& [zone, count] : pollers()) CHECK(count == 3);
+  for (std::size_t i = 0; i < network->size(); ++i) {
+    if (network->node(i).replication->polls_log()) network->kill(i);
+  }
+  REQUIRE(network->run_until([&] { return network->converged(); }, seconds{20}));
+  CHECK(pollers().size() == 11);
+  for (const auto& [zone, count] : pollers()) CHECK(count == 3);
+}
+
+// Guards against a change that is not in force everywhere within 12 s (P8), with messages lost.
+TEST_CASE("a change is in force everywhere in 12 s") {
+  NetworkOptions options;
+  options.loss = 0.02;
+  auto network = make_fleet(2, 200, 11, 3, 10, options);
+  network->run(seconds{2});
+  for (int change = 0; change < 10; ++change) {
+    append(*network, change % 3 != 0);
+    CHECK(network->run_until([&] { return in_force(*network); }, seconds{12}));
+  }
+  CHECK_FALSE(moved_back(*network));
+}
+
+// Guards against a newcomer that gets no configuration while the log is out.
+TEST_CASE("a newcomer learns from its peers while the log is out") {
+  auto network = make_fleet(3, 30, 3, 1, 3);
+  for (int i = 0; i < 400; ++i) append(*network);
+  REQUIRE(network->run_until([&] { return in_force(*network); }, seconds{12}));
+  network->log().up = false;
+  network->restart(11);
+  CHECK(network->node(11).config->revision() == 0);
+  CHECK(network->run_until([&] { return in_force(*network); }, seconds{12}));
+  CHECK_FALSE(moved_back(*network));
+}
+
+// Guards against a state that does not fit one message, and records that do not apply.
+TEST_CASE("a large state is put together from parts") {
+  auto network = make_fleet(4, 12, 3, 1, 3);
+  for (int i = 0; i < 20; ++i) append(*network);
+  REQUIRE(network->run_until([&] { return in_force(*network); }, seconds{12}));
+  network->log().up = false;
+  for (std::size_t i = 0; i < network->size(); ++i) network->node(i).config->state_bytes = 300000;
+  network->restart(5);
+  network->node(5).config->refuse_records = true;
+  CHECK(network->run_until([&] { return in_force(*network); }, seconds{12}));
+  CHECK(network->node(5).replication->counters().transfers_applied >= 1);
+}
+
+// Guards against a record larger than one message that stops all later ones.
+TEST_CASE("a record of the largest size gets through") {
+  auto network = make_fleet(5, 12, 3, 1, 3);
+  network->run(seconds{1});
+  append(*network, true, 70000);
+  append(*network, true, 70000);
+  CHECK(network->run_until([&] { return in_force(*network); }, seconds{12}));
+}
+
+// Guards against status that does not name who lags, or names it for ever.
+TEST_CASE("a daemon that lags is named everywhere until it has caught up") {
+  auto network = make_fleet(6, 20, 2, 1, 2);
+  network->run(seconds{2});
+  std::size_t slow = 0;
+  while (network->node(slow).replication->polls_log()) ++slow;
+  network->node(slow).config->refuse_records = true;
+  // With the right to the state it would catch up.
+  for (std::size_t i = 0; i < network->size(); ++i) network->node(i).config->state_bytes = std::size_t{40} * 1024 * 1024;
+  append(*network);
+  network->run(seconds{20});
+  const std::size_t observer = slow == 9 ? 8 : 9;
+  const auto lagging = network->node(observer).membership->lagging(network->now());
+  REQUIRE(lagging.size() == 1);
+  CHECK(lagging[0].id == network->node(slow).id);
+  CHECK(lagging[0].behind >= seconds{12});
+  network->node(slow).config->refuse_records = false;
+  CHECK(network->run_until([&] { return network->node(observer).membership->lagging(network->now()).empty(); },
+                           seconds{15}));
+}
+
+// Guards against any schedule of faults that moves a configuration back or leaves a daemon behind for good.
+TEST_CASE("random schedules never move back and end in agreement") {
+  CHECK(rc::check("schedule", [] {
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const auto nodes = *rc::gen::inRange<std::size_t>(4, 16);
+    auto network = make_fleet(seed, nodes, 3, 2, 3);
+    network->run(milliseconds{10});
+    core::Random random{seed + 1};
+    const auto pick = [&] { return static_cast<std::size_t>(random() % nodes); };
+    for (int step = *rc::gen::inRange(1, 15); step > 0; --step) {
+      switch (*rc::gen::inRange(0, 7)) {
+        case 0:
+          network->set_loss(0.3);
+          break;
+        case 1:
+          network->set_duplicate(0.5);
+          break;
+        case 2:
+          network->log().up = !network->log().up;
+          break;
+        case 3:
+          network->restart(pick());
+          break;
+        case 4:
+          network->pause(pick());
+          break;
+        case 5: {
+          const std::size_t cut = pick();
+          network->block([cut](std::size_t from, std::size_t to) { return (from < cut) != (to < cut); });
+          break;
+        }
+        default:
+          for (int i = 0; i < 5; ++i)
+            append(*network, *rc::gen::arbitrary<bool>(), *rc::gen::inRange<std::size_t>(0, 30000));
+      }
+      network->run(milliseconds{*rc::gen::inRange(10, 4000)});
+    }
+    network->set_loss(0);
+    network->block({});
+    network->log().up = true;
+    for (std::size_t i = 0; i < nodes; ++i) network->resume(i);
+    RC_ASSERT(network->run_until([&] { return in_force(*network); }, minutes{1}).has_value());
+    RC_ASSERT(!moved_back(*network));
+  }));
+}
+
+}  // namespace damaskthread::replication
--- a/test/support/control_network.cc
+++ b/test/support/control_network.cc
@@ -18,8 +18,8 @@
 std::size_t ControlNetwork::add(const Placement& placement, const std::vector<std::size_t>& seeds) {
   const std::size_t number = nodes_.size();
   auto node = std::make_unique<Node>();
-  const std::string host =
-      "10." + std::to_string(number / 65536) + '.' + std::to_string(number / 256 % 256) + '.' + std::to_string(number % 256);
+  const std::string host = "10." + std::to_string(number / 65536) + '.' + std::to_string(number / 256 % 256) + '.' +
+                           std::to_string(number % 256);
   node->info = {.service = placement.service,
                 .zone = placement.zone,
                 .region = placement.region,
