--- a/test/damaskthread/replication/replication_test.cc
+++ b/test/damaskthread/replication/replication_test.cc
@@ -120,7 +120,8 @@
   while (network->node(slow).replication->polls_log()) ++slow;
   network->node(slow).config->refuse_records = true;
   // With the right to the state it would catch up.
-  for (std::size_t i = 0; i < network->size(); ++i) network->node(i).config->state_bytes = std::size_t{40} * 1024 * 1024;
+  for (std::size_t i = 0; i < network->size(); ++i)
+    network->node(i).config->state_bytes = std::size_t{40} * 1024 * 1024;
   append(*network);
   network->run(seconds{20});
   const std::size_t observer = slow == 9 ? 8 : 9;
