Use the project's HTTP client for the log

Change: LogClient sends through http::Client; one time-out for the whole call replaces two. Conclusion: no connection means that nothing was done; everything later is unknown.

--- a/src/damaskthread/platform/log_client.h
+++ b/src/damaskthread/platform/log_client.h
@@ -11,10 +11,12 @@
 #include <boost/leaf/result.hpp>
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
 #include "damaskthread/core/error.h"
+#include "damaskthread/http/fwd.h"
 #include "damaskthread/platform/fwd.h"
 #include "damaskthread/resource/log_record.h"
 
@@ -23,8 +25,7 @@
 struct LogClientOptions {
   std::string ip = "127.0.0.1";
   std::uint16_t port = 0;
-  std::chrono::milliseconds connect_timeout{500};
-  std::chrono::milliseconds request_timeout{2'000};
+  std::chrono::milliseconds timeout{2'000};  ///< For one call: connecting, sending and receiving.
 };
 
 /// Bounds of the log.
@@ -33,7 +34,7 @@
   std::uint64_t next = 0;   ///< Offset that the next append gets.
 };
 
-/// Each call uses its own connection, so that a broken one cannot make a later append unknown; any thread may call.
+/// An append uses its own connection, so that one closed while idle cannot make it unknown; any thread may call.
 /// Errors are `core::Error`: `kUnavailable` if nothing was done, `kUnknown` if the append may have taken effect.
 class LogClient {
  public:
@@ -50,6 +51,7 @@
 
  private:
   LogClientOptions options_;
+  std::shared_ptr<http::Client> client_;
 };
 
 }  // namespace damaskthread::platform
--- a/test/damaskthread/platform/log_client_test.cc
+++ b/test/damaskthread/platform/log_client_test.cc
@@ -3,11 +3,10 @@
 #include <doctest/doctest.h>
 
 #include <boost/leaf/handle_errors.hpp>
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/request.h>
 #include <optional>
 #include <thread>
 
+#include "damaskthread/http/client.h"
 #include "support/child_process.h"
 
 namespace damaskthread::platform {
@@ -29,8 +28,12 @@
         BOOST_LEAF_AUTO(value, call());
         return Outcome{value, std::nullopt};
       },
-      [](const core::Error& error) { return Outcome{std::nullopt, error.code}; },
-      [] { return Outcome{std::nullopt, std::nullopt}; });
+      [](const core::Error& error) {
+        return Outcome{std::nullopt, error.code};
+      },
+      [] {
+        return Outcome{std::nullopt, std::nullopt};
+      });
 }
 
 struct LogFixture {
@@ -38,15 +41,16 @@
   support::ChildProcess process{
       support::program_path("test/log_service"),
       {"--port=" + std::to_string(port), "--max_appends_per_second=20", "--retention_records=10"}};
-  LogClient client{{.port = port, .request_timeout = milliseconds{300}}};
+  LogClient client{{.port = port, .timeout = milliseconds{300}}};
 
   LogFixture() { REQUIRE(support::wait_for_port(port)); }
 
   void control(const std::string& body) const {
-    cxxtools::http::Request request{"/control"};
-    request.method("POST");
-    request.body() << body;
-    cxxtools::http::Client{"127.0.0.1", port}.execute(request);
+    http::Client sender;
+    const http::ExchangeResult result =
+        sender.send({"127.0.0.1", port}, {.method = "POST", .target = "/control", .headers = {}, .body = body},
+                    std::chrono::seconds{5});
+    REQUIRE(std::holds_alternative<http::Response>(result));
   }
   [[nodiscard]] auto append(const std::string& record) const {
     return outcome([&] { return client.append(record); });
@@ -58,8 +62,7 @@
 
 }  // namespace
 
-// Guards against reporting "may have been taken" for an append that never left this process: the library has no type
-// of its own for a failed connect.
+// Guards against reporting "may have been taken" for an append that never left this process.
 TEST_CASE("a refused connection means that nothing was done") {
   const LogClient client{{.ip = "127.0.0.1", .port = 1}};
   CHECK(outcome([&] { return client.append("x"); }).error == ErrorCode::kUnavailable);
