Add damaskctl

Cause: operators need to publish declarations, learn the outcome and see what is in force. Change: module client (requests to several daemons, publishing under one operation id, files, text output) and the program damaskctl with apply, diff, get, delete, watch, status and report.

--- /dev/null
+++ b/src/damaskthread/client/arguments.cc
@@ -0,0 +1,104 @@
+#include <algorithm>
+#include <array>
+
+#include "damaskthread/client/commands.h"
+
+namespace damaskthread::client {
+namespace {
+
+constexpr std::array<std::string_view, 8> kFlags = {"server", "token_file", "output",     "f",
+                                                    "after",  "count",      "timeout_ms", "version"};
+
+constexpr std::string_view kHelp = R"(damaskctl publishes declarations of services and shows what is in force.
+
+Usage:
+  damaskctl COMMAND [ARGUMENTS] [FLAGS]
+
+Commands:
+  apply -f FILE-OR-FOLDER   publish declarations; unchanged ones are left alone
+  diff -f FILE-OR-FOLDER    show how declarations differ from what is in force
+  get [NAME]                list the services, or print one declaration
+  delete NAME               delete a declaration (--version N: only if it is the version in force)
+  watch                     print each change as it is accepted (--after REVISION, --count N)
+  status                    show which version is in force where, and which daemons lag
+  report                    show the service-level objectives and the budget that is left
+
+Flags:
+  --server IP:PORT          admin port of a daemon (default 127.0.0.1:7003); may be repeated, the next is tried when
+                            one does not answer
+  --token-file FILE         file that holds your token
+  --output text|json        form of the output (default text)
+  --timeout-ms N            time for one request (default 10000)
+
+Exit codes:
+  0  done
+  1  there are differences, another change came first, or daemons lag
+  2  the command line is wrong
+  3  no daemon or no log can be reached; nothing was done
+  4  the outcome is unknown; run the same command again
+  5  a declaration, a name or the token is not valid
+
+Example:
+  damaskctl diff -f example/birchrun --token-file operator.token
+  damaskctl apply -f example/birchrun --token-file operator.token
+  damaskctl status --token-file operator.token
+)";
+
+}  // namespace
+
+std::string_view help_text() { return kHelp; }
+
+Arguments prepare_arguments(const std::vector<std::string>& arguments) {
+  Arguments result;
+  std::string servers;
+  for (std::size_t i = 0; i < arguments.size(); ++i) {
+    const std::string& argument = arguments[i];
+    if (argument.size() < 2 || argument.front() != '-') {
+      result.values.push_back(argument);
+      continue;
+    }
+    const std::size_t dashes = argument[1] == '-' ? 2 : 1;
+    const std::size_t equals = std::min(argument.find('='), argument.size());
+    std::string name = argument.substr(dashes, equals - dashes);
+    std::replace(name.begin(), name.end(), '-', '_');
+    if (name == "help" || name == "h") {
+      result.help = true;
+      continue;
+    }
+    if (std::find(kFlags.begin(), kFlags.end(), name) == kFlags.end()) {
+      result.error = "unknown flag " + argument;
+      return result;
+    }
+    std::string value;
+    if (equals < argument.size()) {
+      value = argument.substr(equals + 1);
+    } else if (i + 1 < arguments.size()) {
+      value = arguments[++i];
+    } else {
+      result.error = "the flag " + argument + " needs a value";
+      return result;
+    }
+    if (name != "server") {
+      result.values.push_back("--" + name + "=" + value);
+      continue;
+    }
+    servers += (servers.empty() ? "" : ",") + value;
+  }
+  if (!servers.empty()) result.values.push_back("--server=" + servers);
+  return result;
+}
+
+std::optional<std::vector<http::Endpoint>> parse_servers(std::string_view text) {
+  std::vector<http::Endpoint> servers;
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find(','), text.size());
+    http::Endpoint server;
+    if (!http::parse_endpoint(text.substr(0, end), server)) return std::nullopt;
+    servers.push_back(std::move(server));
+    text.remove_prefix(std::min(end + 1, text.size()));
+  }
+  if (servers.empty()) return std::nullopt;
+  return servers;
+}
+
+}  // namespace damaskthread::client
