Test the choice of a server; let a server regain its share after the first answer

Cause: the first run of the tests showed that a server that had failed or timed out regained too little.

--- a/src/damaskthread/routing/router.cc
+++ b/src/damaskthread/routing/router.cc
@@ -105,6 +105,12 @@
     last_finish.store(rep_of(now), std::memory_order_relaxed);
   }
 
+  void lower(float most_us) noexcept {
+    float cost = cost_us.load(std::memory_order_relaxed);
+    while (cost > most_us && !cost_us.compare_exchange_weak(cost, most_us, std::memory_order_relaxed)) {
+    }
+  }
+
   void restart(core::TimePoint now, bool is_cold) noexcept {
     cost_us.store(0, std::memory_order_relaxed);
     failures.store(0, std::memory_order_relaxed);
@@ -328,19 +334,21 @@
   return nullptr;
 }
 
-ServiceRouter::Member* ServiceRouter::pick(std::size_t tier, core::Random& random,
-                                           std::span<const core::ServerId> tried, core::TimePoint now) const noexcept {
+ServiceRouter::Candidate ServiceRouter::pick(std::size_t tier, core::Random& random,
+                                             std::span<const core::ServerId> tried,
+                                             core::TimePoint now) const noexcept {
   const std::size_t size = pool_.tiers[tier].size();
-  if (size == 0) return nullptr;
+  if (size == 0) return {};
   Member* first = scan(tier, draw(random, size), tried, nullptr);
-  if (first == nullptr) return nullptr;
-  Member* second = scan(tier, draw(random, size), tried, first);
-  if (second == nullptr) return first;
+  if (first == nullptr) return {};
   const float first_cost = cost_of(*first, now);
+  Member* second = scan(tier, draw(random, size), tried, first);
+  if (second == nullptr) return {first, first_cost};
   const float second_cost = cost_of(*second, now);
   const float first_weight = second_cost * second_cost;
   const float second_weight = first_cost * first_cost;
-  return draw_unit(random) * (first_weight + second_weight) < first_weight ? first : second;
+  const bool take_first = draw_unit(random) * (first_weight + second_weight) < first_weight;
+  return take_first ? Candidate{first, first_cost} : Candidate{second, second_cost};
 }
 
 ServiceRouter::Member* ServiceRouter::probe_due(std::span<const core::ServerId> tried, core::TimePoint now) noexcept {
@@ -374,26 +382,25 @@
   if (probe == Probe::kAllowed) {
     if (const Member* member = probe_due(tried, now)) return member->info.id;
   }
-  const Member* chosen = nullptr;
+  Candidate chosen;
   for (std::size_t tier = 0; tier < kTiers; ++tier) {
-    const Member* candidate = pick(tier, random, tried, now);
-    if (candidate == nullptr) continue;
-    if (chosen == nullptr) {
+    const Candidate candidate = pick(tier, random, tried, now);
+    if (candidate.member == nullptr) continue;
+    if (chosen.member == nullptr) {
       chosen = candidate;
-    } else {
-      const float near_cost = cost_of(*chosen, now);
-      const float far_cost = cost_of(*candidate, now) * kTierFactor;
-      const float near_weight = far_cost * far_cost;
-      const float far_weight = near_cost > far_cost ? near_cost * near_cost : 0;
-      const std::size_t near_tier = chosen->tier;
-      // Spilling into a tier that refuses as well only adds distance.
-      const float spill =
-          spill_[near_tier].load(std::memory_order_relaxed) * (1 - spill_[tier].load(std::memory_order_relaxed));
-      if (draw_unit(random) < spill || draw_unit(random) * (near_weight + far_weight) < far_weight) chosen = candidate;
+      continue;
     }
+    // Spilling into a tier that refuses as well only adds distance.
+    const float spill = spill_[chosen.member->tier].load(std::memory_order_relaxed) *
+                        (1 - spill_[tier].load(std::memory_order_relaxed));
+    const float far_cost = candidate.cost * kTierFactor;
+    const float near_weight = far_cost * far_cost;
+    const float far_weight = chosen.cost > far_cost ? chosen.cost * chosen.cost : 0;
+    const float far_share = std::max(spill, far_weight / (near_weight + far_weight));
+    if (far_share > 0 && draw_unit(random) < far_share) chosen = candidate;
   }
-  if (chosen == nullptr) return std::nullopt;
-  return chosen->info.id;
+  if (chosen.member == nullptr) return std::nullopt;
+  return chosen.member->info.id;
 }
 
 void ServiceRouter::started(core::ServerId server, core::TimePoint now) noexcept {
@@ -422,7 +429,11 @@
     const float floor_us = std::max({latency_us, typical_us_.load(std::memory_order_relaxed), kFirstCostUs / 10});
     switch (outcome) {
       case AttemptOutcome::kAnswered:
-        member->failures.store(0, std::memory_order_relaxed);
+        // An answer after failures shows that the server is back; its cost may then fall at once.
+        if (member->failures.load(std::memory_order_relaxed) > 0) {
+          member->failures.store(0, std::memory_order_relaxed);
+          member->lower(floor_us * kTierFactor);
+        }
         member->sample(latency_us, now);
         return;
       case AttemptOutcome::kRefused: {
@@ -463,6 +474,7 @@
     result.push_back({.id = id,
                       .tier = static_cast<int>(member->tier),
                       .in_flight = member->in_flight.load(std::memory_order_relaxed),
+                      .quota = pool_.quota[member->tier],
                       .cost = core::Duration(cost),
                       .held = member->held});
   }
--- a/src/damaskthread/routing/router.h
+++ b/src/damaskthread/routing/router.h
@@ -85,6 +85,7 @@
   core::ServerId id;
   int tier = 0;  ///< 0 for the own zone, 1 for the region, 2 for elsewhere.
   int in_flight = 0;
+  int quota = 0;  ///< Largest number of attempts in flight.
   core::Duration cost{0};
   bool held = false;
 };
@@ -139,6 +140,11 @@
     float mean_slots = 1;
   };
 
+  struct Candidate {
+    Member* member = nullptr;
+    float cost = 0;
+  };
+
   Member* find(core::ServerId server) const noexcept;
   Member* find_known(core::ServerId server) const noexcept;
   void update_known(std::span<const ServerInfo> servers, core::TimePoint now);
@@ -149,8 +155,8 @@
   bool usable(const Member& member, std::span<const core::ServerId> tried) const noexcept;
   Member* scan(std::size_t tier, std::size_t start, std::span<const core::ServerId> tried,
                const Member* except) const noexcept;
-  Member* pick(std::size_t tier, core::Random& random, std::span<const core::ServerId> tried,
-               core::TimePoint now) const noexcept;
+  Candidate pick(std::size_t tier, core::Random& random, std::span<const core::ServerId> tried,
+                 core::TimePoint now) const noexcept;
   Member* probe_due(std::span<const core::ServerId> tried, core::TimePoint now) noexcept;
 
   RouterOptions options_;
--- /dev/null
+++ b/test/damaskthread/routing/traffic.h
@@ -0,0 +1,77 @@
+#ifndef DAMASKTHREAD_TEST_ROUTING_TRAFFIC_H_
+#define DAMASKTHREAD_TEST_ROUTING_TRAFFIC_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "damaskthread/routing/router.h"
+
+namespace damaskthread::routing {
+
+/// How a simulated server treats one attempt.
+struct Reaction {
+  AttemptOutcome outcome = AttemptOutcome::kAnswered;
+  core::Duration latency = std::chrono::milliseconds(10);
+};
+
+/// Sends attempts through a router at a steady rate and reports their ends in order of time.
+class Traffic {
+ public:
+  using Behaviour = std::function<Reaction(core::ServerId, core::TimePoint)>;
+
+  Traffic(ServiceRouter& router, core::TimePoint start, std::uint64_t seed)
+      : router_(&router), now_(start), random_(seed) {}
+
+  /// Runs for a time at a rate and returns the attempts per server.
+  std::map<std::uint64_t, int> run(core::Duration time, int per_second, const Behaviour& behaviour) {
+    std::map<std::uint64_t, int> counts;
+    const core::TimePoint end = now_ + time;
+    const core::Duration step = core::Duration(std::chrono::seconds(1)) / per_second;
+    for (; now_ < end; now_ += step) {
+      report_until(now_);
+      const std::optional<core::ServerId> server = router_->choose(random_, {}, now_);
+      if (!server) {
+        ++counts[0];
+        continue;
+      }
+      ++counts[server->value];
+      router_->started(*server, now_);
+      const Reaction reaction = behaviour(*server, now_);
+      pending_.emplace(now_ + reaction.latency, std::pair(*server, reaction));
+    }
+    return counts;
+  }
+
+  [[nodiscard]] core::TimePoint now() const { return now_; }
+
+ private:
+  void report_until(core::TimePoint time) {
+    while (!pending_.empty() && pending_.begin()->first <= time) {
+      const auto [server, reaction] = pending_.begin()->second;
+      router_->finished(server, reaction.outcome, reaction.latency, pending_.begin()->first);
+      pending_.erase(pending_.begin());
+    }
+  }
+
+  ServiceRouter* router_;
+  core::TimePoint now_;
+  core::Random random_;
+  std::multimap<core::TimePoint, std::pair<core::ServerId, Reaction>> pending_;
+};
+
+/// Servers with ids from 1, all in zone 0 unless changed afterwards.
+inline std::vector<ServerInfo> make_servers(int count) {
+  std::vector<ServerInfo> servers;
+  for (int i = 1; i <= count; ++i) {
+    servers.push_back({.id = {static_cast<std::uint64_t>(i)}, .incarnation = {1000}, .slots = 70, .connections = 530});
+  }
+  return servers;
+}
+
+}  // namespace damaskthread::routing
+
+#endif  // DAMASKTHREAD_TEST_ROUTING_TRAFFIC_H_
