--- a/src/damaskthread/execution/token.h
+++ b/src/damaskthread/execution/token.h
@@ -20,11 +20,11 @@
 
 /// The service is part of the fingerprint, so that the token has a fixed size whatever the length of its name.
 struct ExecutionToken {
-  core::ServerId server;
-  core::Incarnation incarnation;
+  core::ServerId server{};
+  core::Incarnation incarnation{};
   std::uint64_t sequence = 0;
   std::uint64_t fingerprint = 0;
-  core::TimePoint expiry;  ///< Monotonic clock of the issuing incarnation; meaningless to others.
+  core::TimePoint expiry{};  ///< Monotonic clock of the issuing incarnation; meaningless to others.
   core::Mac mac{};
 
   bool operator==(const ExecutionToken&) const = default;
--- a/src/damaskthread/retry/minted_id.h
+++ b/src/damaskthread/retry/minted_id.h
@@ -22,8 +22,8 @@
 
 /// Id of a request, bound to the daemon that holds its retry allowance.
 struct MintedId {
-  core::ServerId home;
-  core::Incarnation incarnation;
+  core::ServerId home{};
+  core::Incarnation incarnation{};
   std::uint64_t sequence = 0;
   core::Mac mac{};
 
--- a/src/damaskthread/routing/router.h
+++ b/src/damaskthread/routing/router.h
@@ -26,8 +26,8 @@
 
 /// What membership knows about one server of the service.
 struct ServerInfo {
-  core::ServerId id;
-  core::Incarnation incarnation;
+  core::ServerId id{};
+  core::Incarnation incarnation{};
   std::uint32_t zone = 0;
   std::uint32_t region = 0;
   int slots = 1;
@@ -46,7 +46,7 @@
 };
 
 struct RouterOptions {
-  core::ServerId self;  ///< This daemon; seeds its choice of a subset.
+  core::ServerId self{};  ///< This daemon; seeds its choice of a subset.
   std::uint32_t zone = 0;
   std::uint32_t region = 0;
   int max_members = 24;  ///< Largest number of servers used in the own zone, the region and elsewhere, each.
--- a/test/damaskthread/promise/retry_bound_test.cc
+++ b/test/damaskthread/promise/retry_bound_test.cc
@@ -93,7 +93,11 @@
   }
 
   void add_child(int parent, int target, Share share) {
-    calls_.push_back({.daemon = target, .incarnation = incarnations_[target], .key = {next_key_++, 1}, .parent = parent, .share = share});
+    calls_.push_back({.daemon = target,
+                      .incarnation = incarnations_[target],
+                      .key = {next_key_++, 1},
+                      .parent = parent,
+                      .share = share});
     messages_.push_back({MessageKind::kAttempt, static_cast<int>(calls_.size()) - 1});
   }
 
@@ -139,9 +143,10 @@
   CHECK(rc::check([] {
     const int allowance = *rc::gen::inRange(0, kMaxAllowance + 1);
     const auto schedule = *rc::gen::resize(
-        600, rc::gen::container<std::vector<std::pair<int, std::uint32_t>>>(
-                 rc::gen::pair(rc::gen::weightedElement<int>({{4, 0}, {4, 1}, {3, 2}, {1, 3}, {6, 4}, {3, 5}, {1, 7}, {1, 8}, {1, 9}}),
-                               rc::gen::resize(1000, rc::gen::arbitrary<std::uint32_t>()))));
+        600,
+        rc::gen::container<std::vector<std::pair<int, std::uint32_t>>>(rc::gen::pair(
+            rc::gen::weightedElement<int>({{4, 0}, {4, 1}, {3, 2}, {1, 3}, {6, 4}, {3, 5}, {1, 7}, {1, 8}, {1, 9}}),
+            rc::gen::resize(1000, rc::gen::arbitrary<std::uint32_t>()))));
     Tree tree(allowance);
     for (const auto& [action, choice] : schedule) {
       tree.step(action, choice);
--- a/test/damaskthread/retry/policy_test.cc
+++ b/test/damaskthread/retry/policy_test.cc
@@ -19,7 +19,7 @@
 
 // Guards against retries that cannot succeed or that run a request twice.
 TEST_CASE("a retry is allowed only for a cause that leaves hope and a request that may be repeated") {
-  const std::set<Cause> hopeful = {Cause::kNone,    Cause::kOverload,   Cause::kNoServer, Cause::kLeaving,
+  const std::set<Cause> hopeful = {Cause::kNone,    Cause::kOverload,   Cause::kNoServer,  Cause::kLeaving,
                                    Cause::kCrashed, Cause::kConnection, Cause::kIncomplete};
   core::Random random(1);
   for (int i = 0; i <= static_cast<int>(Cause::kCrashed); ++i) {
@@ -29,8 +29,7 @@
       for (const bool idempotent : {false, true}) {
         const RetryDecision decision = decide({.execution = execution, .cause = cause},
                                               {.idempotent = idempotent, .deadline = kNow + seconds(1)}, kNow, random);
-        const bool safe =
-            execution == Execution::kNotRun || (execution == Execution::kMayHaveRun && idempotent);
+        const bool safe = execution == Execution::kNotRun || (execution == Execution::kMayHaveRun && idempotent);
         CHECK(decision.retry == (safe && hopeful.contains(cause)));
         CHECK(decision.retry == (decision.reason == RetryReason::kAllowed));
       }
@@ -46,8 +45,8 @@
     const core::Duration least = milliseconds(*rc::gen::inRange(0, 100));
     const int attempt = *rc::gen::inRange(0, 20);
     const RetryDecision decision =
-        decide(core::not_run(Cause::kOverload),
-               {.attempt = attempt, .deadline = kNow + left, .least_attempt = least}, kNow, random);
+        decide(core::not_run(Cause::kOverload), {.attempt = attempt, .deadline = kNow + left, .least_attempt = least},
+               kNow, random);
     RC_ASSERT(decision.retry == (left > least));
     if (!decision.retry) return;
     RC_ASSERT(decision.delay >= core::Duration::zero());
