--- a/src/damaskthread/routing/router.h
+++ b/src/damaskthread/routing/router.h
@@ -26,8 +26,8 @@
 
 /// What membership knows about one server of the service.
 struct ServerInfo {
-  core::ServerId id;
-  core::Incarnation incarnation;
+  core::ServerId id{};
+  core::Incarnation incarnation{};
   std::uint32_t zone = 0;
   std::uint32_t region = 0;
   int slots = 1;
@@ -46,7 +46,7 @@
 };
 
 struct RouterOptions {
-  core::ServerId self;  ///< This daemon; seeds its choice of a subset.
+  core::ServerId self{};  ///< This daemon; seeds its choice of a subset.
   std::uint32_t zone = 0;
   std::uint32_t region = 0;
   int max_members = 24;  ///< Largest number of servers used in the own zone, the region and elsewhere, each.
@@ -85,6 +85,7 @@
   core::ServerId id;
   int tier = 0;  ///< 0 for the own zone, 1 for the region, 2 for elsewhere.
   int in_flight = 0;
+  int quota = 0;  ///< Largest number of attempts in flight.
   core::Duration cost{0};
   bool held = false;
 };
@@ -139,6 +140,11 @@
     float mean_slots = 1;
   };
 
+  struct Candidate {
+    Member* member = nullptr;
+    float cost = 0;
+  };
+
   Member* find(core::ServerId server) const noexcept;
   Member* find_known(core::ServerId server) const noexcept;
   void update_known(std::span<const ServerInfo> servers, core::TimePoint now);
@@ -149,8 +155,8 @@
   bool usable(const Member& member, std::span<const core::ServerId> tried) const noexcept;
   Member* scan(std::size_t tier, std::size_t start, std::span<const core::ServerId> tried,
                const Member* except) const noexcept;
-  Member* pick(std::size_t tier, core::Random& random, std::span<const core::ServerId> tried,
-               core::TimePoint now) const noexcept;
+  Candidate pick(std::size_t tier, core::Random& random, std::span<const core::ServerId> tried,
+                 core::TimePoint now) const noexcept;
   Member* probe_due(std::span<const core::ServerId> tried, core::TimePoint now) noexcept;
 
   RouterOptions options_;
