Spread the news of a crash under the timer's lock

The timer thread took the news between the accusation and its immediate spread, so that it travelled with gossip only. Change: accusing and spreading are one step under the lock that the timer takes. Conclusion: at most three servers crash when news needs less than 100 ms; the delay bounds it in practice, not in proof.

--- a/src/damaskthread/daemon/control_plane.cc
+++ b/src/damaskthread/daemon/control_plane.cc
@@ -150,7 +150,9 @@
 
 void ControlPlane::notify_crash() {
   const auto now = Clock::now();
+  // Under one lock with the timer, which would otherwise take the news and leave it to the slower gossip.
   const std::lock_guard lock(mutex_);
+  node_.server_crashed(now);
   const std::vector<wire::CrashMark> marks = to_wire(node_.crash_news(now));
   membership_.spread(marks, now);
   std::vector<wire::Outgoing> messages;
--- a/src/damaskthread/daemon/control_plane.h
+++ b/src/damaskthread/daemon/control_plane.h
@@ -43,8 +43,8 @@
   ControlPlane(const ControlPlane&) = delete;
   ControlPlane& operator=(const ControlPlane&) = delete;
 
-  /// @brief Sends the news of a crash at once to every daemon beside a server of the same service: these are the ones
-  /// that would run the request next.
+  /// @brief Accuses the calls that ran when the local server crashed, and sends the news at once to every daemon beside
+  /// a server of the same service: these are the ones that would run the request next.
   void notify_crash();
   /// @brief Announces that this daemon takes no new work.
   void announce_leaving();
--- a/src/damaskthread/daemon/data_plane.cc
+++ b/src/damaskthread/daemon/data_plane.cc
@@ -424,7 +424,6 @@
   if (probe.valid() && !http::internal::closes_within(probe, kCrashProbeWatch)) return;
   server_down_ = true;
   ++crashes_seen_;
-  node_.server_crashed(now);
   crash_observer_();
   LOG4CPLUS_WARN(logger(), "the local server has ended while calls were running");
 }
--- a/src/damaskthread/daemon/data_plane.h
+++ b/src/damaskthread/daemon/data_plane.h
@@ -40,7 +40,7 @@
 };
 
 using CallObserver = std::function<void(const CallReport&)>;
-/// Called when the local server has crashed, before the crashed calls are answered.
+/// Called when the local server has crashed, before the crashed calls are answered: accuses them and spreads the news.
 using CrashObserver = std::function<void()>;
 
 /// Handlers run on the threads of the HTTP servers.
