Report service-level burn over all daemons that can be reached

Cause: operators need one report, while each daemon counts only the calls that entered through it. Change: the daemon records root calls against the declared objectives, answers /v1/burn to daemons that sign with the shared key, and merges all answers for /v1/report (JSON) and /report (HTML); daemons without an answer are listed. Conclusion: a call is counted once, where it entered.

--- a/src/damaskthread/daemon/daemon.cc
+++ b/src/damaskthread/daemon/daemon.cc
@@ -2,18 +2,22 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
 #include <utility>
 
 #include "damaskthread/daemon/admin_api.h"
+#include "damaskthread/daemon/burn_collector.h"
 #include "damaskthread/daemon/control_plane.h"
 #include "damaskthread/daemon/data_plane.h"
 #include "damaskthread/daemon/log.h"
 #include "damaskthread/engine/node.h"
 #include "damaskthread/http/server.h"
 #include "damaskthread/metrics/registry.h"
+#include "damaskthread/slo/burn_tracker.h"
+#include "damaskthread/slo/report.h"
 
 namespace damaskthread::daemon {
 namespace {
@@ -28,6 +32,7 @@
 // Calls that were accepted by the kernel but not read yet show up within this time.
 constexpr milliseconds kQuietPeriod{300};
 constexpr milliseconds kDrainPoll{10};
+constexpr std::chrono::minutes kMetricsWindow{1};
 
 core::Incarnation new_incarnation() {
   const auto millis = std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
@@ -71,7 +76,8 @@
             [this](const CallReport& report) { count(report); }, [this] { control.notify_crash(); }),
         admin(settings, control,
               {[this] { return metrics_text(); }, [this] { return control.status_json(); },
-               [this](bool html) { return report(html); }, [this] { return burn(); }}),
+               [this](bool html) { return report(html); }, [this] { return slo::report(own_burn()); }}),
+        collector(directory, control.authenticator(), {settings.server_id, incarnation}),
         ticker([this] { run_ticks(); }),
         peer_server(server_options(settings, settings.listen.peer_port),
                     [this](http::Request&& request, const http::Arrival& arrival) {
@@ -93,7 +99,13 @@
 
   void run_ticks() {
     while (!stopping) {
-      data.tick(Clock::now());
+      const auto now = Clock::now();
+      data.tick(now);
+      refresh_objectives(now);
+      if (now - rotated >= kMetricsWindow) {
+        registry.rotate();
+        rotated = now;
+      }
       std::this_thread::sleep_for(kTickPeriod);
     }
   }
@@ -109,6 +121,12 @@
         .quantiles("damaskthread_call_seconds", "Time from a call's arrival to its answer.",
                    {{"importance", std::string(core::to_string(report.importance))}})
         .observe(report.latency);
+    // A call of the local server is part of a request that is counted where it entered.
+    const std::optional<slo::Result> result = report.root ? slo::classify(report.verdict) : std::nullopt;
+    if (!result) return;
+    const bool failed = report.verdict.execution == core::Execution::kRan && report.status >= 500;
+    burn.record(report.service, report.importance, failed ? slo::Result::kFailed : *result, report.latency,
+                Clock::now());
   }
 
   std::string metrics_text() {
@@ -137,8 +155,29 @@
     return registry.expose();
   }
 
-  std::string report(bool /*html*/) { return "{}"; }
-  std::string burn() { return "{}"; }
+  // Objectives follow the declarations in force.
+  void refresh_objectives(core::TimePoint now) {
+    const auto services = node.services();
+    if (services->revision() == objectives_revision) return;
+    objectives_revision = services->revision();
+    std::vector<slo::Objective> objectives;
+    for (const auto& [name, entry] : services->entries()) {
+      for (const resource::Objective& objective : entry.declaration->objectives) {
+        objectives.push_back({name, objective.importance, objective.target, objective.latency, objective.window});
+      }
+    }
+    burn.set_objectives(objectives, now);
+  }
+
+  slo::BurnSnapshot own_burn() {
+    const auto wall = std::chrono::floor<milliseconds>(std::chrono::system_clock::now());
+    return burn.snapshot({settings.server_name, incarnation, wall}, Clock::now());
+  }
+
+  std::string report(bool html) {
+    const slo::BurnSnapshot merged = collector.collect(own_burn());
+    return html ? slo::report_page(merged) : slo::report(merged);
+  }
 
   bool drain(core::Duration bound) {
     const auto begin = Clock::now();
@@ -159,12 +198,16 @@
   const settings::Settings& settings;
   core::Incarnation incarnation;
   metrics::Registry registry;
+  slo::BurnTracker burn;
+  std::uint64_t objectives_revision = 0;
   Directory directory;
   engine::Node node;
   ControlPlane control;
   DataPlane data;
   AdminApi admin;
+  BurnCollector collector;
   std::atomic<bool> stopping{false};
+  core::TimePoint rotated = Clock::now();
   std::thread ticker;
   http::Server peer_server;
   http::Server call_server;
--- a/src/damaskthread/daemon/directory.h
+++ b/src/damaskthread/daemon/directory.h
@@ -4,6 +4,7 @@
 /// @file
 /// @brief Addresses of the known daemons, read by every call.
 
+#include <mutex>
 #include <optional>
 #include <shared_mutex>
 #include <string>
