--- a/test/support/process_fleet.cc
+++ b/test/support/process_fleet.cc
@@ -36,7 +36,8 @@
 ProcessFleet::ProcessFleet(const std::vector<std::string>& log_arguments) {
   std::string pattern = (std::filesystem::temp_directory_path() / "damaskthread-XXXXXX").string();
   directory_ = ::mkdtemp(pattern.data());
-  std::ofstream(directory_ / "operator.token") << kToken << "\n";
+  token_file_ = (directory_ / "operator.token").string();
+  std::ofstream(token_file_) << kToken << "\n";
   log_port_ = free_port();
   std::vector<std::string> arguments = {"--port=" + std::to_string(log_port_)};
   arguments.insert(arguments.end(), log_arguments.begin(), log_arguments.end());
--- a/test/support/process_fleet.h
+++ b/test/support/process_fleet.h
@@ -63,12 +63,15 @@
   [[nodiscard]] int executions(const std::string& service, const std::string& key);
 
   [[nodiscard]] std::vector<std::unique_ptr<Member>>& members() noexcept { return members_; }
-  [[nodiscard]] std::uint16_t log_port() const noexcept { return log_port_; }
+  [[nodiscard]] const std::filesystem::path& directory() const noexcept { return directory_; }
+  /// @brief File with the operators' write token.
+  [[nodiscard]] const std::string& token_file() const noexcept { return token_file_; }
 
  private:
   [[nodiscard]] std::string settings_of(const Member& member) const;
 
   std::filesystem::path directory_;
+  std::string token_file_;
   std::uint16_t log_port_ = 0;
   std::unique_ptr<ChildProcess> log_;
   http::Client client_;
