--- a/src/damaskthread/routing/router.cc
+++ b/src/damaskthread/routing/router.cc
@@ -214,9 +214,8 @@
   doubtful_.store(doubtful, std::memory_order_relaxed);
   for (auto item = known_.begin(); item != known_.end();) {
     Member& member = *item->second;
-    const bool gone = member.info.leaving || member.out.load(std::memory_order_relaxed);
     const bool recent = !member.present && member.absent_since >= window_start;
-    member.held = !member.present && doubtful && !gone && (member.held || recent);
+    member.held = !member.present && doubtful && (member.held || recent);
     // Calls in flight still report to the entry, and an entry inside the window may yet be held.
     const bool forget = !member.present && !member.held && !recent && member.in_flight.load() == 0;
     item = forget ? known_.erase(item) : std::next(item);
