--- a/src/damaskthread/membership/fwd.h
+++ b/src/damaskthread/membership/fwd.h
@@ -8,7 +8,6 @@
 enum class State : std::uint8_t;
 class Membership;
 struct Member;
-struct Options;
 
 }  // namespace damaskthread::membership
 
--- a/src/damaskthread/wire/codec.cc
+++ b/src/damaskthread/wire/codec.cc
@@ -16,7 +16,7 @@
 
 // A refutation counter near its end would wrap at the next refutation.
 constexpr std::uint64_t kMaxRefutation = 0x7FFFFFFF;
-constexpr std::uint64_t kMaxMilliseconds = 30ULL * 24 * 3600 * 1000;
+constexpr std::uint64_t kMaxMilliseconds = std::chrono::milliseconds{std::chrono::days{30}}.count();
 constexpr std::size_t kMaxTextBytes = 128;
 constexpr std::uint64_t kLeavingFlag = 4;
 
@@ -254,7 +254,9 @@
   constexpr std::size_t kShort = 31;
   if (!delta.info) return kShort;
   const MemberInfo& info = *delta.info;
-  std::size_t size = kShort + 3 * 2 + 2 * 5 + 1;
+  // Heads of three texts, two 5-byte numbers and the head of the addresses.
+  constexpr std::size_t kInfoHeads = 17;
+  std::size_t size = kShort + kInfoHeads;
   size += info.service.size() + info.zone.size() + info.region.size();
   for (const auto address : kAddresses) size += (info.*address).size() + 2;
   return size;
--- a/test/support/control_network.cc
+++ b/test/support/control_network.cc
@@ -91,7 +91,7 @@
   if (observer_) observer_(number);
 }
 
-void ControlNetwork::send(std::size_t from, std::vector<wire::Outgoing> messages) {
+void ControlNetwork::send(std::size_t from, const std::vector<wire::Outgoing>& messages) {
   Node& node = *nodes_[from];
   for (const wire::Outgoing& outgoing : messages) {
     std::string bytes = node.authenticator->seal(outgoing.message);
--- a/test/support/control_network.h
+++ b/test/support/control_network.h
@@ -121,7 +121,7 @@
   void start(std::size_t node, core::ServerId id);
   void step(std::size_t node);
   void deliver(std::size_t node, const std::string& bytes);
-  void send(std::size_t from, std::vector<wire::Outgoing> messages);
+  void send(std::size_t from, const std::vector<wire::Outgoing>& messages);
   void after_step(std::size_t node);
 
   NetworkOptions options_;
