Probe few members at random instead of all

Cause: a probe of any of 2,400 members opens a new TCP connection each second on both sides. Change: the random probe goes to one of 32 partners, of which one is exchanged every 64 probes; the schedule test of replication has one poller per failure domain, so that most daemons fetch.

--- a/src/damaskthread/membership/membership.h
+++ b/src/damaskthread/membership/membership.h
@@ -145,6 +145,7 @@
   void gossip(core::Random& random, Out& out);
   void gossip_to(core::ServerId id, Out& out);
   [[nodiscard]] core::ServerId random_member(core::Random& random) const;
+  [[nodiscard]] core::ServerId random_partner(core::Random& random);
   void handle(const wire::Sender& sender, const wire::Ping& body, const wire::Message& message, Out& out);
   void handle(const wire::Sender& sender, const wire::Ack& body, const wire::Message& message, Out& out);
   void handle(const wire::Sender& sender, const wire::PingRequest& body, const wire::Message& message, Out& out);
@@ -200,6 +201,7 @@
   core::TimePoint next_gossip_{};
   core::TimePoint next_expiry_{};
   std::size_t probe_slot_ = 0;
+  std::vector<core::ServerId> partners_;
 
   bool joined_ = false;
   core::TimePoint next_join_{};
--- a/src/damaskthread/membership/probing.cc
+++ b/src/damaskthread/membership/probing.cc
@@ -15,6 +15,10 @@
 // Two ring neighbours and one member at random per period.
 constexpr std::size_t kProbesPerPeriod = 3;
 constexpr std::size_t kRingProbes = 2;
+// Random probes go to a small set, of which one member in 64 probes is exchanged: a probe of any member would open a
+// new connection each second at 2,400 members.
+constexpr std::size_t kPartners = 32;
+constexpr std::uint64_t kProbesPerExchange = 64;
 // Silence after which a failed probe says more about this daemon than about its target. Six messages a second arrive at
 // a daemon that can be reached.
 constexpr core::Duration kSilence = std::chrono::seconds{1};
@@ -35,6 +39,18 @@
   return ring[std::uniform_int_distribution<std::size_t>{0, ring.size() - 1}(random)].id;
 }
 
+core::ServerId Membership::random_partner(core::Random& random) {
+  if (partners_.size() < std::min(kPartners, table_.ring().size())) {
+    partners_.push_back(random_member(random));
+    return partners_.back();
+  }
+  core::ServerId& partner = partners_[std::uniform_int_distribution<std::size_t>{0, partners_.size() - 1}(random)];
+  const Entry* entry = table_.find(partner);
+  const bool gone = entry == nullptr || entry->health == Health::kDead;
+  if (gone || random() % kProbesPerExchange == 0) partner = random_member(random);
+  return partner;
+}
+
 void Membership::send_ping(std::uint32_t number, core::ServerId target, bool with_self, const wire::MemberDelta* claim,
                            Out& out) {
   const Entry* entry = table_.find(target);
@@ -67,7 +83,7 @@
     const auto next = table_.successors(MemberTable::hash(self_.id), kRingProbes);
     if (slot < next.size()) return start_probe(next[slot], false, nullptr, out);
   }
-  start_probe(random_member(random), false, nullptr, out);
+  start_probe(random_partner(random), false, nullptr, out);
 }
 
 void Membership::probe_dead(core::Random& random, Out& out) {
--- a/test/damaskthread/membership/membership_test.cc
+++ b/test/damaskthread/membership/membership_test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -282,6 +283,21 @@
   CHECK(known_dead(*network, 4));
 }
 
+// Guards against probes that open a new connection each second.
+TEST_CASE("probes go to few members, and over time to others") {
+  auto network = make_fleet(15, 300, 5, 1, 10);
+  std::set<core::ServerId> targets;
+  network->on_send([&](std::size_t from, const std::string& bytes) {
+    constexpr std::size_t kSealBytes = 17;
+    if (from != 0) return;
+    const auto received = wire::decode(std::string_view{bytes}.substr(kSealBytes));
+    if (const auto* ping = std::get_if<wire::Ping>(&received->message.body)) targets.insert(ping->target);
+  });
+  network->run(minutes{3});
+  CHECK(targets.size() >= 32);
+  CHECK(targets.size() <= 45);
+}
+
 // Guards against a crash mark that does not reach every daemon within 2 s or is delivered twice.
 TEST_CASE("crash marks spread once to everybody") {
   auto network = make_fleet(13, 200, 5, 1, 10);
--- a/test/damaskthread/replication/replication_test.cc
+++ b/test/damaskthread/replication/replication_test.cc
@@ -107,6 +107,9 @@
 TEST_CASE("a record of the largest size gets through") {
   auto network = make_fleet(5, 12, 3, 1, 3);
   network->run(seconds{1});
+  // Too large to be sent, so that only the records lead there.
+  for (std::size_t i = 0; i < network->size(); ++i)
+    network->node(i).config->state_bytes = std::size_t{40} * 1024 * 1024;
   append(*network, true, 70000);
   append(*network, true, 70000);
   CHECK(network->run_until([&] { return in_force(*network); }, seconds{12}));
@@ -166,7 +169,10 @@
   CHECK(rc::check("schedule", [] {
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
     const auto nodes = *rc::gen::inRange<std::size_t>(4, 16);
-    auto network = make_fleet(seed, nodes, 3, 2, 3);
+    NetworkOptions options;
+    // With one poller per failure domain, most daemons have to fetch.
+    options.replication.pollers_per_zone = 1;
+    auto network = make_fleet(seed, nodes, 3, 2, 3, options);
     network->run(milliseconds{10});
     core::Random random{seed + 1};
     const auto pick = [&] { return static_cast<std::size_t>(random() % nodes); };
