Pass clang-tidy in the resource and client modules

Change: explicit wide constants, the route table inside its only user, and names. Conclusion: no behaviour changes.

--- a/src/damaskthread/client/arguments.cc
+++ b/src/damaskthread/client/arguments.cc
@@ -79,7 +79,7 @@
       return result;
     }
     if (name != "server") {
-      result.values.push_back("--" + name + "=" + value);
+      result.values.push_back(std::string{"--"}.append(name).append("=").append(value));
       continue;
     }
     servers += (servers.empty() ? "" : ",") + value;
--- a/src/damaskthread/client/internal/output.cc
+++ b/src/damaskthread/client/internal/output.cc
@@ -11,10 +11,10 @@
 using Rows = std::vector<std::vector<std::string>>;
 
 const Json& array_of(const Json& object, const char* key) {
-  static const Json kEmpty = Json::array();
-  if (!object.is_object()) return kEmpty;
+  static const Json empty = Json::array();
+  if (!object.is_object()) return empty;
   const auto it = object.find(key);
-  return it != object.end() && it->is_array() ? *it : kEmpty;
+  return it != object.end() && it->is_array() ? *it : empty;
 }
 
 std::string number_text(const Json& value) {
--- a/src/damaskthread/resource/api_handler.cc
+++ b/src/damaskthread/resource/api_handler.cc
@@ -1,6 +1,7 @@
 #include "damaskthread/resource/api_handler.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <nlohmann/json.hpp>
 
@@ -87,27 +88,25 @@
 
 }  // namespace
 
-struct ApiHandler::Route {
-  std::string_view method;
-  std::string_view path;  // A path that ends with `/` takes one more segment as the argument.
-  Role role;
-  ApiResult (ApiHandler::*handle)(const ApiRequest&, std::string_view) const;
-};
-
-const ApiHandler::Route ApiHandler::kRoutes[] = {
-    {"GET", "/v1/resources", Role::kRead, &ApiHandler::list},
-    {"GET", kServices, Role::kRead, &ApiHandler::show},
-    {"PUT", kServices, Role::kWrite, &ApiHandler::put},
-    {"DELETE", kServices, Role::kWrite, &ApiHandler::remove},
-    {"GET", "/v1/watch", Role::kRead, &ApiHandler::watch},
-    {"GET", "/v1/operations/", Role::kRead, &ApiHandler::operation},
-};
-
 bool ApiHandler::handles(std::string_view path) noexcept {
   return path.starts_with("/v1/resources") || path.starts_with("/v1/operations/") || path == "/v1/watch";
 }
 
 ApiResult ApiHandler::handle(const ApiRequest& request) const {
+  struct Route {
+    std::string_view method;
+    std::string_view path;  // A path that ends with `/` takes the rest as the argument.
+    Role role;
+    ApiResult (ApiHandler::*handle)(const ApiRequest&, std::string_view) const;
+  };
+  static constexpr std::array<Route, 6> kRoutes = {{
+      {"GET", "/v1/resources", Role::kRead, &ApiHandler::list},
+      {"GET", kServices, Role::kRead, &ApiHandler::show},
+      {"PUT", kServices, Role::kWrite, &ApiHandler::put},
+      {"DELETE", kServices, Role::kWrite, &ApiHandler::remove},
+      {"GET", "/v1/watch", Role::kRead, &ApiHandler::watch},
+      {"GET", "/v1/operations/", Role::kRead, &ApiHandler::operation},
+  }};
   const std::string_view path{request.path};
   if (!path.starts_with(kPrefix)) return fail(404, "no such route");
   bool known_path = false;
--- a/src/damaskthread/resource/api_handler.h
+++ b/src/damaskthread/resource/api_handler.h
@@ -94,9 +94,6 @@
   [[nodiscard]] ApiResult operation(const ApiRequest& request, std::string_view argument) const;
   [[nodiscard]] ApiResult append(const ApiRequest& request, LogRecord record) const;
 
-  struct Route;
-  static const Route kRoutes[];
-
   const ResourceStore& store_;
 };
 
--- a/src/damaskthread/resource/declaration.h
+++ b/src/damaskthread/resource/declaration.h
@@ -19,13 +19,13 @@
 /// Kind of resource that declares a service.
 inline constexpr std::string_view kServiceKind = "Service";
 /// Largest declaration and largest record on the log.
-inline constexpr std::size_t kMaxRecordBytes = 64 * 1024;
+inline constexpr std::size_t kMaxRecordBytes = std::size_t{64} << 10U;
 
 inline constexpr int kMaxRetries = 8;
 inline constexpr std::chrono::milliseconds kDefaultDeadline{2'000};
 inline constexpr std::chrono::milliseconds kMaxDeadline{600'000};
-inline constexpr std::uint64_t kDefaultMaxBodyBytes = 1024 * 1024;
-inline constexpr std::uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
+inline constexpr std::uint64_t kDefaultMaxBodyBytes = 1ULL << 20U;
+inline constexpr std::uint64_t kMaxBodyBytes = 64ULL << 20U;
 
 /// How calls of one method under one path prefix are treated.
 struct Operation {
--- a/src/damaskthread/resource/declaration_json.cc
+++ b/src/damaskthread/resource/declaration_json.cc
@@ -27,7 +27,7 @@
 };
 constexpr std::array<WindowUnit, 4> kWindowUnits = {{{'d', 86'400}, {'h', 3'600}, {'m', 60}, {'s', 1}}};
 constexpr std::int64_t kMinWindowSeconds = 60;
-constexpr std::int64_t kMaxWindowSeconds = 90 * 86'400;
+constexpr std::int64_t kMaxWindowSeconds = 90LL * 86'400;
 
 bool is_safe_method(std::string_view method) { return method == "GET" || method == "HEAD" || method == "OPTIONS"; }
 
--- a/src/damaskthread/resource/internal/replica_state.cc
+++ b/src/damaskthread/resource/internal/replica_state.cc
@@ -10,7 +10,7 @@
 
 using Json = nlohmann::json;
 
-constexpr std::size_t kMaxStateBytes = 128 * 1024 * 1024;
+constexpr std::size_t kMaxStateBytes = std::size_t{128} << 20U;
 
 // The elements of an entry of `resources` and of `operations`.
 enum ResourceField : std::uint8_t { kKind, kName, kVersion, kDeleted, kAuthor, kBody, kResourceFields };
--- a/src/damaskthread/resource/resource_store.h
+++ b/src/damaskthread/resource/resource_store.h
@@ -55,7 +55,7 @@
   /// Resources and tombstones kept; beyond it the oldest tombstone goes. The same for the whole fleet.
   std::size_t resources_kept = 1'024;
   /// Raw records kept for peers that lag.
-  std::size_t recent_bytes = 4 * 1024 * 1024;
+  std::size_t recent_bytes = std::size_t{4} << 20U;
   /// A snapshot is rewritten after this many records or this time, whichever comes first, or once it lies in the
   /// older half of what the log keeps.
   std::uint64_t snapshot_records = 2'000;
--- a/test/standin/log_service/main.cc
+++ b/test/standin/log_service/main.cc
@@ -40,7 +40,7 @@
 using Json = nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr std::size_t kMaxRecordBytes = 256 * 1024;
+constexpr std::size_t kMaxRecordBytes = std::size_t{256} << 10U;
 constexpr std::size_t kMaxReadRecords = 1'000;
 
 core::TimePoint now() { return std::chrono::steady_clock::now(); }
--- a/test/support/config_fleet.cc
+++ b/test/support/config_fleet.cc
@@ -5,8 +5,6 @@
 namespace damaskthread::test {
 namespace {
 
-using resource::OperationState;
-
 constexpr core::Duration kPollPeriod = std::chrono::milliseconds{500};
 
 // Decides records again, without retention, snapshots, peers or a bound on what is remembered.
