--- a/src/damaskthread/routing/router.cc
+++ b/src/damaskthread/routing/router.cc
@@ -382,7 +382,13 @@
     if (const Member* member = probe_due(tried, now)) return member->info.id;
   }
   Candidate chosen;
+  const float usual = typical_us_.load(std::memory_order_relaxed) * kTierFactor;
   for (std::size_t tier = 0; tier < kTiers; ++tier) {
+    // A server of usual cost in a tier that refuses nothing is not compared with farther ones.
+    if (chosen.member != nullptr && chosen.cost <= usual &&
+        spill_[chosen.member->tier].load(std::memory_order_relaxed) <= 0) {
+      break;
+    }
     const Candidate candidate = pick(tier, random, tried, now);
     if (candidate.member == nullptr) continue;
     if (chosen.member == nullptr) {
