--- a/benchmark/policy.cc
+++ b/benchmark/policy.cc
@@ -78,7 +78,9 @@
   std::atomic<std::size_t> next{0};
   std::vector<std::thread> threads;
   // Each run is independent and uses one thread; four at once keep the machine usable.
-  for (int i = 0; i < 4; ++i) {
+  constexpr int kThreads = 4;
+  threads.reserve(kThreads);
+  for (int i = 0; i < kThreads; ++i) {
     threads.emplace_back([&] {
       for (std::size_t k = next++; k < results.size(); k = next++) {
         const Job& job = all[k / policies];
