--- a/src/damaskthread/client/arguments.cc
+++ b/src/damaskthread/client/arguments.cc
@@ -32,7 +32,7 @@
 
 Exit codes:
   0  done
-  1  there are differences, another change came first, or daemons lag
+  1  there are differences, another change came first, or a version is not in force everywhere yet
   2  the command line is wrong
   3  no daemon or no log can be reached; nothing was done
   4  the outcome is unknown; run the same command again
--- a/src/damaskthread/client/internal/output.cc
+++ b/src/damaskthread/client/internal/output.cc
@@ -118,7 +118,11 @@
 }
 
 bool is_settled(const Json& status) {
-  return array_of(status, "lagging").empty() && array_of(status, "unknown").empty();
+  const Json& resources = array_of(status, "resources");
+  const bool in_force = std::all_of(resources.begin(), resources.end(), [](const Json& resource) {
+    return field_text(resource, "in_force_everywhere") != "no";
+  });
+  return in_force && array_of(status, "lagging").empty() && array_of(status, "unknown").empty();
 }
 
 }  // namespace damaskthread::client::internal
--- a/src/damaskthread/client/internal/output.h
+++ b/src/damaskthread/client/internal/output.h
@@ -19,7 +19,7 @@
 [[nodiscard]] std::string format_list(const Json& resources);
 [[nodiscard]] std::string format_status(const Json& status);
 [[nodiscard]] std::string format_report(const Json& report);
-/// @brief Whether each daemon is known and none lags.
+/// @brief Whether each version is in force everywhere, each daemon is known and none lags.
 [[nodiscard]] bool is_settled(const Json& status);
 
 }  // namespace damaskthread::client::internal
--- a/src/damaskthread/resource/declaration.cc
+++ b/src/damaskthread/resource/declaration.cc
@@ -51,9 +51,22 @@
   return result.empty() ? "/" : result;
 }
 
-bool needs_normalization(std::string_view path) noexcept {
-  if (path.empty() || path.front() != '/') return true;
-  return path.find('%') != path.npos || path.find("//") != path.npos || path.find("/.") != path.npos;
+struct ScannedPath {
+  std::string_view path;  // Without the query.
+  bool normal = true;
+};
+
+// One pass, because this runs for every call.
+ScannedPath scan(std::string_view target) noexcept {
+  bool normal = !target.empty() && target.front() == '/';
+  char previous = '\0';
+  for (std::size_t i = 0; i < target.size(); ++i) {
+    const char c = target[i];
+    if (c == '?' || c == '#') return {target.substr(0, i), normal};
+    if (c == '%' || (previous == '/' && (c == '/' || c == '.'))) normal = false;
+    previous = c;
+  }
+  return {target, normal};
 }
 
 bool matches(std::string_view prefix, std::string_view path) noexcept {
@@ -85,9 +98,9 @@
 }  // namespace
 
 const Operation& ServiceDeclaration::classify(std::string_view method, std::string_view path) const {
-  path = path.substr(0, std::min(path.find_first_of("?#"), path.size()));
-  if (!needs_normalization(path)) return classify_normal(*this, method, path);
-  return classify_normal(*this, method, normalized(path));
+  const ScannedPath scanned = scan(path);
+  if (scanned.normal) return classify_normal(*this, method, scanned.path);
+  return classify_normal(*this, method, normalized(scanned.path));
 }
 
 std::string to_string(const FieldError& error) {
--- a/test/damaskthread/client/commands_test.cc
+++ b/test/damaskthread/client/commands_test.cc
@@ -202,6 +202,8 @@
 
 TEST_CASE_FIXTURE(Fixture, "status is a table and says by its exit code whether the fleet has settled") {
   CHECK(run("status") == ExitCode::kOk);
+  daemon.status = R"({"resources": [{"name": "fleet", "in_force_everywhere": false}]})";
+  CHECK(run("status") == ExitCode::kDifferent);
   daemon.status = R"({"revision": 4, "slowest_revision": 3, "log": "reachable", "unknown": ["pricing@127.0.0.1:7011"],
     "lagging": [{"name": "fleet@127.0.0.1:7001", "revision": 3, "behind_ms": 4200}],
     "resources": [{"kind": "Service", "name": "fleet", "desired_version": 4, "in_force_everywhere": false, "author": "ann"}]})";
