Mend a deadlock of the backend server stand-in

Cause: a request with an id that waited for a slot asked for its cancellation under the lock that the question takes; the whole server then stood still. Seen as a failed stand-in test on a busy machine. Change: the lock is released for the question; a test has two requests with ids wait for one slot.

--- a/test/damaskthread/standin/backend_server_test.cc
+++ b/test/damaskthread/standin/backend_server_test.cc
@@ -125,6 +125,26 @@
   CHECK(stats["running"] == 0);
 }
 
+// Guards against a server that locks up when a request with an id waits for a slot, whether it is cancelled or not.
+TEST_CASE("requests that wait for a slot can be cancelled") {
+  const Backend backend({"--service=s", "--slots=1", "--service_ms=600"});
+  HttpAnswer first;
+  HttpAnswer waiting;
+  HttpAnswer cancelled;
+  {
+    const std::jthread running([&] { first = backend.call({.headers = {{"Damask-Request-Id", "r0"}}}); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    const std::jthread second([&] { waiting = backend.call({.headers = {{"Damask-Request-Id", "r1"}}}); });
+    const std::jthread third([&] { cancelled = backend.call({.headers = {{"Damask-Request-Id", "r2"}}}); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    (void)backend.call({.method = "POST", .target = "/cancel?id=r2"});
+  }
+  CHECK(first.status == 200);
+  CHECK(waiting.status == 200);
+  CHECK(cancelled.status != 200);
+  CHECK(backend.json("/stats")["cancelled"] == 1);
+}
+
 // Guards against a chain whose context is lost at the server, or a parent that takes somebody else's answer for its
 // own.
 TEST_CASE("onward calls copy the context headers") {
--- a/test/standin/backend_server/state.cc
+++ b/test/standin/backend_server/state.cc
@@ -63,7 +63,10 @@
   while (running_ >= options_.slots) {
     slot_free_.wait_for(lock, kGoneInterval);
     if (Clock::now() >= deadline) result = SlotResult::kExpired;
-    if (result == SlotResult::kTaken && gone()) result = SlotResult::kCancelled;
+    lock.unlock();  // `gone` asks this object whether the request was cancelled.
+    const bool left = gone();
+    lock.lock();
+    if (result == SlotResult::kTaken && left) result = SlotResult::kCancelled;
     if (result != SlotResult::kTaken) break;
   }
   --waiting_;
