--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -5,7 +5,7 @@
 export DAMASKTHREAD_BIN="$PWD/build"
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
-for program in core_admit core_route policy control path; do
+for program in core_admit core_route chain policy control path; do
   [ -x "build/benchmark/$program" ] || continue
   "build/benchmark/$program" 2>/dev/null | grep -E '^[a-z_]+(\.[a-z0-9_]+)+ ' | tee -a "$out"
 done
