Hold the answer of a call whose connection broke until news of the crash is out

Cause: a caller's next try reached another server 27 ms after a crash, before the news (50 ms); the daemons' own retries were faster still, so that one request crashed four servers. Change: InboundOutcome.hold, 100 ms or what is left of the deadline, after a broken exchange with the local server; the host delays the answer. The policy test checks the number of crashes.

--- a/src/damaskthread/engine/call.h
+++ b/src/damaskthread/engine/call.h
@@ -115,6 +115,8 @@
   core::Verdict verdict;
   admission::Level level;
   int unspent = 0;
+  /// The host sends the answer only after this time.
+  core::Duration hold{0};
 };
 
 }  // namespace damaskthread::engine
--- a/src/damaskthread/engine/inbound_call.cc
+++ b/src/damaskthread/engine/inbound_call.cc
@@ -14,6 +14,10 @@
 // A suspect waits while another one runs at this server; its caller is asked to try again after this time.
 constexpr core::Duration kSuspectRetryAfter = std::chrono::milliseconds(100);
 
+// A connection that breaks during a call may mean that the call crashed the server. Its answer is held back for this
+// time, so that news of the crash reaches the other daemons before the caller's next try does.
+constexpr core::Duration kCrashHold = std::chrono::milliseconds(100);
+
 std::optional<execution::ExecutionToken> parse_token(std::string_view text, const core::MacKey& key) {
   return boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<std::optional<execution::ExecutionToken>> {
@@ -229,6 +233,9 @@
   node_.running_.remove(running_->key);
   InboundOutcome answered = outcome(verdict);
   answered.unspent = node_.ledger_.close(request_.attempt, now);
+  if (result.failure == Failure::kExchange) {
+    answered.hold = std::clamp(arrival_.deadline - now, core::Duration{0}, core::Duration{kCrashHold});
+  }
   return answered;
 }
 
--- a/test/damaskthread/policy/policy_test.cc
+++ b/test/damaskthread/policy/policy_test.cc
@@ -40,6 +40,24 @@
   }
 }
 
+// Guards against a request that takes down one server after the other while its caller and the daemons try again; the
+// servers' news of a crash takes 50 ms.
+TEST_CASE("a request that crashes servers crashes at most three") {
+  for (const Deployment& deployment : {birchrun(), lindqvist()}) {
+    for (const std::uint64_t seed : {1, 2, 20261204}) {
+      const Result result = run_engine(deployment, {.phases = {{seconds{0}, 0.3, 1}},
+                                                    .measure_from = seconds{1},
+                                                    .end = seconds{7},
+                                                    .poison_at = seconds{1},
+                                                    .seed = seed});
+      CAPTURE(deployment.name);
+      CAPTURE(seed);
+      CHECK(result.crashes >= 1);
+      CHECK(result.crashes <= 3);
+    }
+  }
+}
+
 // Guards against a fixture that flatters every policy: without control the trigger's overload persists.
 TEST_CASE("without control the overload outlasts its trigger") {
   const std::unique_ptr<Policy> policy = make_policy(PolicyKind::kNone);
--- a/test/support/damaskthread_policy.cc
+++ b/test/support/damaskthread_policy.cc
@@ -109,7 +109,11 @@
     const engine::InboundOutcome answer = inbound_[call.id]->finish(result, host_->now(), events_);
     inbound_.erase(call.id);
     handle_events(call.server);
-    return {.ok = outcome.ok, .verdict = answer.verdict, .level = answer.level, .unspent = answer.unspent};
+    return {.ok = outcome.ok,
+            .verdict = answer.verdict,
+            .level = answer.level,
+            .unspent = answer.unspent,
+            .hold = answer.hold};
   }
 
   void crash(int server) override {
