Use the engine's hold for answers of crashed calls in the daemon

Cause: the engine now says how long the answer of a call whose connection broke is held; the daemon had its own delay. Change: the daemon honours InboundOutcome.hold, also for calls that ended with a crash, and its own constant goes. Conclusion: one rule in one place.

--- a/src/damaskthread/daemon/data_plane.cc
+++ b/src/damaskthread/daemon/data_plane.cc
@@ -19,7 +19,6 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr core::Duration kWaitSlice = std::chrono::milliseconds(5);
-constexpr core::Duration kCrashNewsTime = std::chrono::milliseconds(100);
 // A process that is ending may still accept a connection, which it closes at once.
 constexpr std::chrono::milliseconds kCrashProbeWatch{50};
 constexpr core::Duration kCrashProbeTimeout = std::chrono::milliseconds(200);
@@ -356,6 +355,8 @@
   if (answer && step.context.at_most_once) result.answer = store(*answer);
   const engine::InboundOutcome outcome = call.finish(result, Clock::now(), events);
   post(events);
+  // The caller may repeat the request as soon as it is answered; news of a crash has to reach the other servers first.
+  if (outcome.hold > core::Duration::zero()) std::this_thread::sleep_for(outcome.hold);
   http::Response response =
       answer && outcome.verdict.execution == Execution::kRan ? std::move(*answer) : refusal(outcome.verdict);
   append_outcome(outcome, response.headers);
@@ -400,11 +401,7 @@
     local.failure = failure_of(failure->stage);
     if (failure->stage == http::Stage::kExchange || failure->stage == http::Stage::kIncomplete) {
       check_crash(Clock::now());
-      // The caller may repeat the request as soon as it is answered; the news has to reach the other servers first.
-      if (server_down_) {
-        local.failure = engine::Failure::kCrashed;
-        std::this_thread::sleep_for(kCrashNewsTime);
-      }
+      if (server_down_) local.failure = engine::Failure::kCrashed;
     }
     return local;
   }
--- a/src/damaskthread/engine/inbound_call.cc
+++ b/src/damaskthread/engine/inbound_call.cc
@@ -233,7 +233,7 @@
   node_.running_.remove(running_->key);
   InboundOutcome answered = outcome(verdict);
   answered.unspent = node_.ledger_.close(request_.attempt, now);
-  if (result.failure == Failure::kExchange) {
+  if (result.failure == Failure::kExchange || result.failure == Failure::kCrashed) {
     answered.hold = std::clamp(arrival_.deadline - now, core::Duration{0}, core::Duration{kCrashHold});
   }
   return answered;
