--- a/test/damaskthread/membership/membership_test.cc
+++ b/test/damaskthread/membership/membership_test.cc
@@ -159,6 +159,31 @@
   CHECK(membership.find({5})->state == State::kSuspect);
 }
 
+// Guards against a proxy drawn from an empty ring when the only other member dies while it is probed.
+TEST_CASE("the last other member may die during its probe") {
+  wire::MemberInfo info;
+  info.control_address = "10.0.0.99:1";
+  Membership membership{{{99}, {1}}, info, {}};
+  info.control_address = "10.0.0.1:1";
+  core::Random random{1};
+  core::TimePoint now{minutes{1}};
+  wire::Message message;
+  message.deltas.push_back({.id = {1},
+                            .incarnation = {1},
+                            .refutation = 0,
+                            .health = wire::Health::kAlive,
+                            .leaving = false,
+                            .suspected_for = {},
+                            .info = std::make_shared<const wire::MemberInfo>(info)});
+  static_cast<void>(membership.receive({{1}, {1}}, message, now));
+  while (membership.counters().probes == 0) static_cast<void>(membership.tick(now += milliseconds{100}, random));
+  message.deltas[0].health = wire::Health::kDead;
+  static_cast<void>(membership.receive({{2}, {1}}, message, now));
+  CHECK(membership.living() == 0);
+  for (int i = 0; i < 10; ++i) static_cast<void>(membership.tick(now += milliseconds{100}, random));
+  CHECK(membership.counters().probe_failures == 1);
+}
+
 // Guards against a daemon that wakes from a pause and takes its own silence for the death of all others.
 TEST_CASE("a paused daemon declares nobody dead and refutes its own death") {
   auto network = make_fleet(5, 40, 4, 1, 4);
