--- a/test/damaskthread/admission/server_admission_test.cc
+++ b/test/damaskthread/admission/server_admission_test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
 #include <cstdlib>
 #include <map>
 #include <new>
@@ -13,7 +14,7 @@
 #include <vector>
 
 namespace {
-thread_local long allocations = 0;
+thread_local std::int64_t allocations = 0;
 }  // namespace
 
 [[gnu::noinline]] void* operator new(std::size_t size) {
@@ -370,7 +371,7 @@
 TEST_CASE("admission does not allocate") {
   Fixture fixture(options_of(8));
   std::array<Ticket, 8> tickets{};
-  const long before = allocations;
+  const std::int64_t before = allocations;
   for (std::uint64_t i = 0; i < 20000; ++i) {
     Ticket& ticket = tickets[i % tickets.size()];
     fixture.finish(ticket);
