--- a/benchmark/path.cc
+++ b/benchmark/path.cc
@@ -79,6 +79,7 @@
     all.failed += own.failed;
   };
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int i = 0; i < kThreads; ++i) threads.emplace_back(work);
   for (std::thread& thread : threads) thread.join();
   return all;
@@ -130,6 +131,7 @@
     std::printf("path.calls_per_s_per_core.%d %.0f\n", static_cast<int>(rate), calls / std::max(used, 1e-9));
   }
   std::vector<http::internal::Socket> idle;
+  idle.reserve(700);
   for (int i = 0; i < 700; ++i) {
     idle.push_back(http::internal::connect({"127.0.0.1", ingress}, Clock::now() + std::chrono::seconds(2)));
   }
--- a/src/damaskthread/daemon/admin_api.cc
+++ b/src/damaskthread/daemon/admin_api.cc
@@ -45,9 +45,9 @@
 http::Response AdminApi::handle(http::Request&& request, const http::Arrival& arrival) {
   const std::string target = request.target;
   const std::size_t mark = target.find('?');
-  const std::string_view path = std::string_view(target).substr(0, mark);
-  const std::string_view query =
-      mark == std::string::npos ? std::string_view() : std::string_view(target).substr(mark + 1);
+  const std::string_view whole = target;
+  const std::string_view path = whole.substr(0, mark);
+  const std::string_view query = mark == std::string::npos ? std::string_view{} : whole.substr(mark + 1);
   if (path == "/healthz") return page("text/plain", "ok\n");
   if (path == "/metrics") return page("text/plain; version=0.0.4", pages_.metrics());
   if (path == "/v1/burn") {
--- a/test/damaskthread/admission/entrance_gate_test.cc
+++ b/test/damaskthread/admission/entrance_gate_test.cc
@@ -54,6 +54,7 @@
 TEST_CASE("several threads may hear and ask at once") {
   EntranceGate gate;
   std::vector<std::thread> threads;
+  threads.reserve(4);
   for (int t = 0; t < 4; ++t) {
     threads.emplace_back([&gate] {
       TimePoint now{seconds{5}};
--- a/test/damaskthread/daemon/process_test.cc
+++ b/test/damaskthread/daemon/process_test.cc
@@ -1,7 +1,7 @@
 #include <doctest/doctest.h>
-#include <signal.h>
 
 #include <atomic>
+#include <csignal>
 #include <string>
 #include <thread>
 #include <vector>
@@ -74,6 +74,7 @@
   const std::string token(http::find(whole(first)->headers, "Damask-Token"));
   REQUIRE_FALSE(token.empty());
   std::vector<std::thread> callers;
+  callers.reserve(16);
   std::atomic<int> ran = 0;
   for (std::size_t i = 0; i < 9; ++i) {
     callers.emplace_back([&, i] {
@@ -121,6 +122,7 @@
 TEST_CASE("a planned stop finishes what is in flight and takes no new work") {
   Booking booking(2, {"--service_ms=700"});
   std::vector<std::thread> callers;
+  callers.reserve(16);
   std::atomic<int> answered = 0;
   for (int i = 0; i < 4; ++i) {
     callers.emplace_back([&, i] {
--- a/test/standin/demo/main.cc
+++ b/test/standin/demo/main.cc
@@ -3,9 +3,9 @@
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <signal.h>
 
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
