--- /dev/null
+++ b/src/damaskthread/engine/identifier_text.cc
@@ -0,0 +1,28 @@
+#include "damaskthread/engine/identifier_text.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+namespace damaskthread::engine::internal {
+namespace {
+
+template <typename Identifier, typename Parse>
+std::optional<Identifier> read(Parse parse) {
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<std::optional<Identifier>> {
+        BOOST_LEAF_AUTO(identifier, parse());
+        return std::optional<Identifier>(identifier);
+      },
+      [] { return std::optional<Identifier>(); });
+}
+
+}  // namespace
+
+std::optional<execution::ExecutionToken> read_token(std::string_view text, const core::MacKey& key) {
+  return read<execution::ExecutionToken>([&] { return execution::parse_token(text, key); });
+}
+
+std::optional<retry::MintedId> read_minted_id(std::string_view text, const core::MacKey& key) {
+  return read<retry::MintedId>([&] { return retry::parse_minted_id(text, key); });
+}
+
+}  // namespace damaskthread::engine::internal
--- a/src/damaskthread/engine/inbound_call.cc
+++ b/src/damaskthread/engine/inbound_call.cc
@@ -1,10 +1,11 @@
 #include "damaskthread/engine/inbound_call.h"
 
 #include <algorithm>
-#include <boost/leaf/handle_errors.hpp>
 #include <functional>
 #include <utility>
 
+#include "damaskthread/engine/identifier_text.h"
+
 namespace damaskthread::engine {
 namespace {
 
@@ -18,15 +19,6 @@
 // time, so that news of the crash reaches the other daemons before the caller's next try does.
 constexpr core::Duration kCrashHold = std::chrono::milliseconds(100);
 
-std::optional<execution::ExecutionToken> parse_token(std::string_view text, const core::MacKey& key) {
-  return boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<std::optional<execution::ExecutionToken>> {
-        BOOST_LEAF_AUTO(token, execution::parse_token(text, key));
-        return std::optional(token);
-      },
-      [] { return std::optional<execution::ExecutionToken>(); });
-}
-
 }  // namespace
 
 InboundCall::InboundCall(Node& node, PeerRequest request) : node_(node), request_(std::move(request)) {}
@@ -99,7 +91,7 @@
 
 std::optional<InboundStep> InboundCall::begin_execution(core::TimePoint now) {
   if (request_.context.token.empty()) return std::nullopt;
-  token_ = parse_token(request_.context.token, node_.options_.key);
+  token_ = internal::read_token(request_.context.token, node_.options_.key);
   if (!token_) return refuse(core::not_run(Cause::kBadRequest), now);
   const execution::BeginResult begun = node_.executions_.begin(*token_, request_.fingerprint, now);
   if (begun.begin == execution::Begin::kRun) {
--- a/src/damaskthread/engine/outbound_call.cc
+++ b/src/damaskthread/engine/outbound_call.cc
@@ -2,10 +2,11 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/leaf/handle_errors.hpp>
 #include <functional>
 #include <utility>
 
+#include "damaskthread/engine/identifier_text.h"
+
 namespace damaskthread::engine {
 namespace {
 
@@ -30,24 +31,6 @@
                                                   Cause::kConnection, Cause::kIncomplete, Cause::kDeadline,
                                                   Cause::kCancelled,  Cause::kCrashed};
 
-std::optional<execution::ExecutionToken> parse_token(std::string_view text, const core::MacKey& key) {
-  return boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<std::optional<execution::ExecutionToken>> {
-        BOOST_LEAF_AUTO(token, execution::parse_token(text, key));
-        return std::optional(token);
-      },
-      [] { return std::optional<execution::ExecutionToken>(); });
-}
-
-std::optional<retry::MintedId> parse_id(std::string_view text, const core::MacKey& key) {
-  return boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<std::optional<retry::MintedId>> {
-        BOOST_LEAF_AUTO(id, retry::parse_minted_id(text, key));
-        return std::optional(id);
-      },
-      [] { return std::optional<retry::MintedId>(); });
-}
-
 }  // namespace
 
 OutboundCall::OutboundCall(Node& node, CallRequest request)
@@ -113,7 +96,8 @@
 // A call from outside. A known id is a repeat and is counted at its home; any other text is only a label.
 std::optional<Step> OutboundCall::open_root(core::TimePoint now) {
   if (request_.context.importance) arrival_.importance = std::min(arrival_.importance, *request_.context.importance);
-  const std::optional<retry::MintedId> repeat = parse_id(request_.context.request_id, node_.options_.key);
+  const std::optional<retry::MintedId> repeat =
+      internal::read_minted_id(request_.context.request_id, node_.options_.key);
   const retry::MintedId id = repeat ? *repeat : node_.minter_.mint();
   root_ = retry::key_of(id);
   allowance_key_ = root_;
@@ -174,7 +158,7 @@
 
 std::optional<Step> OutboundCall::read_token() {
   if (request_.context.token.empty()) return std::nullopt;
-  token_ = parse_token(request_.context.token, node_.options_.key);
+  token_ = internal::read_token(request_.context.token, node_.options_.key);
   if (token_) return std::nullopt;
   return refuse(core::not_run(Cause::kBadRequest));
 }
@@ -224,7 +208,7 @@
                                   core::Random& random, core::TimePoint now) {
   latest_ = now;
   std::optional<execution::ExecutionToken> parsed;
-  if (token) parsed = parse_token(*token, node_.options_.key);
+  if (token) parsed = internal::read_token(*token, node_.options_.key);
   if (!parsed) {
     // Asking for a token runs nothing, so another server may be asked whatever happened.
     tried_.push_back(target_);
