Keep the at-most-once mark out of the context that a server copies

Cause: found while trying the README by hand: a payment failed with 502 after the declaration of a service two hops down had been deleted. The mark travelled in Damask-At-Most-Once to the server, which copies the context to its own calls, so that every look-up made for a payment needed a token, a connection of its own, and was never tried again. Ruled out: the deletion itself; with the declaration in place the same calls were marked too. Change: the server is not sent the mark; a call is at-most-once by its own declaration, its own mark or its token. Status counts a member whose last digest is older than the last change as not there until its neighbours would have reported it, 15 s, and as in force after that: it said "slowest 0" for members it hears rarely.

--- a/src/damaskthread/daemon/control_plane.cc
+++ b/src/damaskthread/daemon/control_plane.cc
@@ -30,6 +30,8 @@
 // Time alone in a gap of the log after which what is still kept is taken as it is.
 constexpr seconds kAcceptGapAfter{10};
 
+// A neighbour notes a lag after 12 s; the note takes a few rounds of gossip.
+constexpr seconds kLagReport{15};
 constexpr std::size_t kMarksPerMessage = (wire::kMaxDatagramBytes - wire::kEnvelopeBytes) / wire::kMarkBytes;
 
 std::string address_text(const std::string& ip, std::uint16_t port) { return http::to_string({ip, port}); }
@@ -254,6 +256,7 @@
   const std::uint64_t revision = store_.revision();
   if (revision == revision_in_force_) return;
   revision_in_force_ = revision;
+  revision_since_ = Clock::now();
   node_.set_services(store_.table());
   LOG4CPLUS_INFO(logger(), "configuration revision " << revision << " is in force");
 }
@@ -417,7 +420,10 @@
       status["unknown"].push_back(name);
       continue;
     }
-    slowest = std::min(slowest, peer.digest->revision);
+    // Members that stay behind are reported by their neighbours within kLagReport. Until then a digest heard before the
+    // last change says nothing, and the member counts as not there yet.
+    const bool reported_by_now = now - revision_since_ >= kLagReport;
+    if (peer.behind || !reported_by_now) slowest = std::min(slowest, peer.digest->revision);
   }
   for (const wire::LagNote& note : membership_.lagging(now)) {
     slowest = std::min(slowest, note.revision);
--- a/src/damaskthread/daemon/control_plane.h
+++ b/src/damaskthread/daemon/control_plane.h
@@ -95,6 +95,7 @@
   std::uint64_t view_version_ = 0;
   core::TimePoint view_refreshed_;
   std::uint64_t revision_in_force_ = 0;
+  core::TimePoint revision_since_;
 
   std::atomic<bool> stopping_{false};
   std::atomic<bool> log_reachable_{false};
--- a/src/damaskthread/daemon/data_plane.cc
+++ b/src/damaskthread/daemon/data_plane.cc
@@ -352,7 +352,7 @@
     result = run_local(step, std::move(request), caller_gone, answer);
     if (caller_gone.cancelled()) call.cancel(Clock::now(), events);
   }
-  if (answer && step.context.at_most_once) result.answer = store(*answer);
+  if (answer && step.at_most_once) result.answer = store(*answer);
   const engine::InboundOutcome outcome = call.finish(result, Clock::now(), events);
   post(events);
   // The caller may repeat the request as soon as it is answered; news of a crash has to reach the other servers first.
@@ -394,7 +394,7 @@
   const auto begin = Clock::now();
   engine::LocalResult local;
   replace_context(step.context, request.headers);
-  const http::Reuse reuse = step.context.at_most_once ? http::Reuse::kNever : http::Reuse::kAllowed;
+  const http::Reuse reuse = step.at_most_once ? http::Reuse::kNever : http::Reuse::kAllowed;
   http::ExchangeResult result = client_.send(local_server_, request, step.timeout, reuse, &caller_gone);
   local.latency = Clock::now() - begin;
   if (const auto* failure = std::get_if<http::Failure>(&result)) {
--- a/src/damaskthread/engine/call.h
+++ b/src/damaskthread/engine/call.h
@@ -96,6 +96,9 @@
   std::shared_ptr<const execution::StoredAnswer> stored;
   admission::Ticket ticket;
   context::CallContext context;
+  /// The call runs under a token. Not part of the context: a server copies that to its own calls, which are
+  /// at-most-once only if their own declaration says so.
+  bool at_most_once = false;
   core::Duration timeout{0};
 };
 
--- a/src/damaskthread/engine/inbound_call.cc
+++ b/src/damaskthread/engine/inbound_call.cc
@@ -138,7 +138,7 @@
   passed.request_id = request_.context.request_id;
   passed.importance = arrival_.importance;
   passed.time_left = step.timeout;
-  passed.at_most_once = at_most_once_;
+  step.at_most_once = at_most_once_;
   passed.attempt = request_.context.attempt;
   passed.depth = arrival_.depth;
   passed.parent = context::to_hex(request_.attempt);
--- a/test/support/call_chain.cc
+++ b/test/support/call_chain.cc
@@ -237,7 +237,7 @@
   }
   ++ledger.runs_anywhere;
   if (daemon.service == "front") ++ledger.runs;
-  if (step.context.at_most_once) ++ledger.once[daemon.service + request.target + std::to_string(request.fingerprint)];
+  if (step.at_most_once) ++ledger.once[daemon.service + request.target + std::to_string(request.fingerprint)];
   if (draw(faults_.server_fails)) {
     result.failure = Failure::kExchange;
     return result;
