--- a/src/damaskthread/daemon/data_plane.cc
+++ b/src/damaskthread/daemon/data_plane.cc
@@ -345,13 +345,9 @@
     return response;
   }
   std::optional<http::Response> answer;
-  engine::LocalResult result;
-  {
-    // When the calling daemon gives up, the server's own calls end as well.
-    const std::shared_ptr<engine::Running> running = call.running();
-    result = run_local(step, std::move(request), caller_gone, answer);
-    if (caller_gone.cancelled()) call.cancel(Clock::now(), events);
-  }
+  engine::LocalResult result = run_local(step, std::move(request), caller_gone, answer);
+  // When the calling daemon has given up, the calls that the server has made for this one end as well.
+  if (caller_gone.cancelled()) call.cancel(Clock::now(), events);
   if (answer && step.at_most_once) result.answer = store(*answer);
   const engine::InboundOutcome outcome = call.finish(result, Clock::now(), events);
   post(events);
