--- /dev/null
+++ b/src/damaskthread/mesh/daemon.cc
@@ -0,0 +1,470 @@
+#include "damaskthread/mesh/daemon.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <chrono>
+#include <csignal>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+#include <system_error>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "damaskthread/core/error.h"
+#include "damaskthread/entrance/call_graph.h"
+#include "damaskthread/mesh/clock.h"
+#include "damaskthread/mesh/event_log.h"
+#include "damaskthread/mesh/fleet.h"
+#include "damaskthread/mesh/gate_host.h"
+#include "damaskthread/mesh/http_listener.h"
+#include "damaskthread/mesh/ingress.h"
+#include "damaskthread/mesh/peer_listener.h"
+#include "damaskthread/mesh/store_client.h"
+#include "damaskthread/metrics/registry.h"
+#include "damaskthread/placement/server_pool.h"
+#include "damaskthread/quarantine/crash_tally.h"
+
+namespace damaskthread::mesh {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kTickInterval{25};
+constexpr core::Duration kSweepInterval = milliseconds{250};
+constexpr core::Duration kStatusInterval = milliseconds{400};
+constexpr core::Duration kSettingsInterval = seconds{1};
+// A daemon that lags behind in its configuration is sent the newest one after this time: it usually reads it itself.
+constexpr core::Duration kConfigurationLag = milliseconds{700};
+// A stopping daemon still gets new requests until its callers have seen twice that it is not ready.
+constexpr core::Duration kStopNotice = milliseconds{2300};
+// Left of the grace when requests that are still under way are given up.
+constexpr core::Duration kGraceReserve = milliseconds{400};
+constexpr std::uint16_t kMetricsPort = 9464;
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr int kBadRequest = 400;
+// Descriptors kept for files, listeners and connections to servers and daemons.
+constexpr std::size_t kReservedDescriptors = 1200;
+
+core::Incarnation new_incarnation() {
+  const auto wall = std::chrono::system_clock::now().time_since_epoch();
+  const auto millis = static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(wall).count());
+  return {(millis << 16U) | (std::random_device{}() & 0xFFFFU)};
+}
+
+http::Endpoint to_http(const settings::Endpoint& endpoint) { return {endpoint.host, endpoint.port}; }
+
+// Entry of a daemon in the list of members.
+std::string member_value(const std::string& zone, const std::string& left_server) {
+  return Json{{"zone", zone}, {"left", left_server}}.dump();
+}
+
+struct MemberEntry {
+  std::string zone;
+  std::string left_server;
+};
+
+std::optional<MemberEntry> parse_member(const std::string& value) {
+  const Json entry = Json::parse(value, nullptr, false);
+  if (!entry.is_object() || !entry.contains("zone") || !entry["zone"].is_string()) return std::nullopt;
+  MemberEntry member{entry["zone"].get<std::string>(), ""};
+  if (entry.contains("left") && entry["left"].is_string()) member.left_server = entry["left"].get<std::string>();
+  return member;
+}
+
+}  // namespace
+
+struct Daemon::Impl {
+  Impl(const MeshSettings& daemon_settings, std::filesystem::path path, const Adapter& daemon_adapter)
+      : settings(daemon_settings),
+        settings_path(std::move(path)),
+        adapter(daemon_adapter),
+        self(settings::to_string(settings.peers)),
+        incarnation(new_incarnation()),
+        log(settings.name, {}),
+        gate(io, adapter, settings, log, tally, gate_hooks()),
+        fleet(io, {self, settings.zone}, incarnation, log, fleet_hooks()),
+        ingress({adapter, log, registry, pool, graph, fleet, gate}, self, incarnation),
+        peers(io, to_http(settings.peers), gate, peer_hooks()),
+        store(io, adapter, to_http(settings.store), log, store_hooks()),
+        calls(io, to_http(settings.calls), max_callers(), [this](const auto& caller) { ingress.handle(caller); }),
+        ready(io, to_http(settings.ready), max_callers(), [this](const auto& caller) { answer_ready(*caller); }),
+        control(io, to_http(settings.control), max_callers(), [this](const auto& caller) { answer_control(*caller); }),
+        admin(io, {settings.calls.host, kMetricsPort}, max_callers(),
+              [this](const auto& caller) { answer_admin(*caller); }),
+        ticker(io),
+        signals(io, SIGTERM, SIGINT, SIGHUP) {
+    ingress.set_local_service(settings.service);
+    note_settings_time();
+    wait_signal();
+    for (const settings::Endpoint& seed : settings.seeds) fleet.learn({settings::to_string(seed), ""});
+    log.line(LineClass::kBelief, "started",
+             {{"self", self}, {"zone", settings.zone}, {"service", settings.service}});
+    store.start();
+    schedule_tick();
+  }
+
+  [[nodiscard]] std::size_t max_callers() const {
+    return settings.max_descriptors > 2 * kReservedDescriptors ? settings.max_descriptors - kReservedDescriptors
+                                                               : settings.max_descriptors / 2;
+  }
+
+  GateHost::Hooks gate_hooks() {
+    GateHost::Hooks hooks;
+    hooks.changed = [this] { server_changed(); };
+    hooks.crashed = [this](const quarantine::CrashReport& report) { spread_crash(report); };
+    hooks.health_path = [this](const std::string& service) {
+      const route::ServiceFacts* const facts = ingress.table() ? ingress.table()->service(service) : nullptr;
+      return facts == nullptr ? std::string() : facts->health_path;
+    };
+    hooks.servers = [this](const std::string& service) { return pool.count(service); };
+    return hooks;
+  }
+
+  Fleet::Hooks fleet_hooks() {
+    Fleet::Hooks hooks;
+    hooks.status = [this](const std::string& endpoint, bool near, const peer::Status& status) {
+      pool.set_server(endpoint, near, {status.service, status.ready, status.load});
+      for (const std::string& callee : status.callees) graph.saw(status.service, callee, now());
+      offer_configuration(endpoint, status.configuration_version);
+    };
+    hooks.reachable = [this](const std::string& endpoint, bool reachable) { pool.set_reachable(endpoint, reachable); };
+    hooks.forgotten = [this](const std::string& endpoint) { pool.remove(endpoint); };
+    hooks.configuration = [this](const peer::Configuration& offered) { adopt(offered.document, "peer"); };
+    hooks.crash = [this](const peer::Crash& crash) { (void)tally.add(crash.report, now()); };
+    return hooks;
+  }
+
+  PeerListener::Hooks peer_hooks() {
+    PeerListener::Hooks hooks;
+    hooks.greeting = [this] { return fleet.greeting(); };
+    hooks.status = [this] { return status(); };
+    hooks.greeted = [this](const peer::Hello& hello) {
+      fleet.learn(hello.self);
+      for (const peer::Member& member : hello.members) fleet.learn(member);
+    };
+    hooks.configuration = [this](const peer::Configuration& offered) { adopt(offered.document, "peer"); };
+    hooks.crash = [this](const peer::Crash& crash) { (void)tally.add(crash.report, now()); };
+    return hooks;
+  }
+
+  StoreClient::Hooks store_hooks() {
+    StoreClient::Hooks hooks;
+    hooks.configuration = [this](const std::string& document) { adopt(document, "store"); };
+    hooks.members = [this](const std::vector<KeyedRecord>& records) { take_members(records); };
+    return hooks;
+  }
+
+  void take_members(const std::vector<KeyedRecord>& records) {
+    bool listed = false;
+    for (const KeyedRecord& record : records) {
+      const auto entry = parse_member(record.value);
+      if (!entry) continue;
+      if (record.key != self) {
+        fleet.learn({record.key, entry->zone});
+        continue;
+      }
+      listed = entry->zone == settings.zone;
+      if (listed && left_server.empty() && !entry->left_server.empty()) {
+        left_server = entry->left_server;
+        gate.remember_leave(left_server);
+      }
+    }
+    if (!listed) store.put_member(self, member_value(settings.zone, left_server));
+  }
+
+  void adopt(const std::string& document, std::string_view source) {
+    const auto table = boost::leaf::try_handle_all(
+        [&] { return adapter.configuration(document); },
+        [&](const core::Error& error) {
+          log.line(LineClass::kBelief, "configuration_invalid",
+                   {{"source", source}, {"where", error.where}, {"reason", error.message}});
+          return std::shared_ptr<const route::RouteTable>();
+        },
+        [&] {
+          log.line(LineClass::kBelief, "configuration_invalid", {{"source", source}});
+          return std::shared_ptr<const route::RouteTable>();
+        });
+    if (table == nullptr) return;
+    if (ingress.table() != nullptr && table->version() <= ingress.table()->version()) return;
+    configuration_document = document;
+    ingress.set_table(table);
+    calls.set_bounds(table->bounds());
+    log.line(LineClass::kBelief, "configuration",
+             {{"version", static_cast<std::int64_t>(table->version())},
+              {"source", source},
+              {"routes", static_cast<std::int64_t>(table->routes().size())}});
+    status_due = now();
+  }
+
+  // A daemon that cannot read the store hears of a configuration from those that use its server.
+  void offer_configuration(const std::string& endpoint, std::uint64_t version) {
+    const std::uint64_t newest = ingress.table() ? ingress.table()->version() : 0;
+    if (version >= newest) {
+      lagging.erase(endpoint);
+      return;
+    }
+    const core::TimePoint time = now();
+    const auto [since, inserted] = lagging.emplace(endpoint, time);
+    if (inserted || time - since->second < kConfigurationLag) return;
+    since->second = time;
+    if (PeerLink* const link = fleet.link(endpoint)) link->send(peer::Configuration{newest, configuration_document});
+  }
+
+  void spread_crash(const quarantine::CrashReport& report) {
+    for (const auto& [endpoint, link] : fleet.links()) link->send(peer::Crash{report});
+  }
+
+  peer::Status status() {
+    const core::TimePoint time = now();
+    peer::Status status;
+    status.configuration_version = ingress.table() ? ingress.table()->version() : 0;
+    const auto& announcement = gate.life().announcement();
+    if (announcement) {
+      status.service = announcement->service;
+      status.server_id = announcement->id;
+      status.callees = graph.callees(announcement->service, time);
+    }
+    status.ready = gate.takes_requests(time);
+    status.load = gate.load();
+    return status;
+  }
+
+  void server_changed() {
+    const auto& announcement = gate.life().announcement();
+    const gate::ServerState state = gate.server_state(now());
+    if (announcement) ingress.set_local_service(announcement->service);
+    const bool left = state == gate::ServerState::kLeaving || state == gate::ServerState::kGone;
+    if (left && announcement && announcement->id != left_server) {
+      left_server = announcement->id;
+      store.put_member(self, member_value(settings.zone, left_server));
+    }
+    refresh_own_entry();
+    peers.broadcast(status());
+    status_due = now() + kStatusInterval;
+  }
+
+  void refresh_own_entry() {
+    const auto& announcement = gate.life().announcement();
+    pool.set_server(self, true, {announcement ? announcement->service : "", gate.takes_requests(now()), gate.load()});
+    pool.set_reachable(self, true);
+  }
+
+  void answer_ready(CallerRequest& caller) {
+    http::Response response;
+    if (!adapter.asks_readiness(caller.request)) {
+      response.status = kNotFound;
+    } else if (ingress.table() == nullptr || stopping) {
+      response.status = kUnavailable;
+    }
+    caller.answer(response);
+  }
+
+  void answer_control(CallerRequest& caller) {
+    const ControlCall call = adapter.control_call(caller.request);
+    if (const auto* malformed = std::get_if<MalformedCall>(&call)) {
+      log.line(LineClass::kBelief, "control_call_malformed", {{"reason", malformed->reason}});
+      http::Response response;
+      response.status = kBadRequest;
+      caller.answer(response);
+      return;
+    }
+    if (const auto* heartbeat = std::get_if<gate::Announcement>(&call)) gate.hear(*heartbeat);
+    if (const auto* departure = std::get_if<Departure>(&call)) gate.depart(departure->server_id);
+    caller.answer(adapter.control_answer());
+  }
+
+  void answer_admin(CallerRequest& caller) {
+    http::Response response;
+    if (caller.request.target == "/metrics") {
+      response.body = registry.expose();
+    } else if (caller.request.target == "/status") {
+      response.body = status_text();
+    } else {
+      response.status = kNotFound;
+    }
+    caller.answer(response);
+  }
+
+  [[nodiscard]] std::string status_text() {
+    const peer::Status own = status();
+    Json peers_json = Json::array();
+    for (const auto& [endpoint, link] : fleet.links()) {
+      peers_json.push_back({{"endpoint", endpoint},
+                            {"zone", link->zone()},
+                            {"reachable", link->reachable()},
+                            {"service", link->status().service},
+                            {"ready", link->status().ready},
+                            {"configuration", link->status().configuration_version}});
+    }
+    return Json{{"name", settings.name},
+                {"configuration", own.configuration_version},
+                {"server", {{"id", own.server_id},
+                            {"service", own.service},
+                            {"state", gate::to_string(gate.server_state(now()))},
+                            {"limit", own.load.limit},
+                            {"running", own.load.running},
+                            {"queued", own.load.queued}}},
+                {"stopping", stopping},
+                {"requests", ingress.active()},
+                {"peers", std::move(peers_json)}}
+        .dump(2);
+  }
+
+  void note_settings_time() {
+    std::error_code error;
+    const auto time = std::filesystem::last_write_time(settings_path, error);
+    if (!error) settings_time = time;
+  }
+
+  void check_settings() {
+    std::error_code error;
+    const auto time = std::filesystem::last_write_time(settings_path, error);
+    if (error || time == settings_time) return;
+    settings_time = time;
+    reload();
+  }
+
+  // Addresses that are listened at stay as they are; what describes the server beside the daemon is taken over.
+  void reload() {
+    const auto fresh = boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::optional<MeshSettings>> {
+          BOOST_LEAF_AUTO(read, load_mesh_settings(settings_path));
+          return std::optional(std::move(read));
+        },
+        [&](const settings::Errors& errors) {
+          log.line(LineClass::kBelief, "settings_refused", {{"reason", settings::to_string(errors)}});
+          return std::optional<MeshSettings>();
+        },
+        [] { return std::optional<MeshSettings>(); });
+    if (!fresh) return;
+    settings.local_server = fresh->local_server;
+    settings.service = fresh->service;
+    gate.set_local_server(to_http(settings.local_server));
+    if (!gate.life().announcement()) ingress.set_local_service(settings.service);
+    log.line(LineClass::kBelief, "settings", {{"service", settings.service}});
+  }
+
+  void wait_signal() {
+    signals.async_wait([this](const error_code& error, int signal) {
+      if (error) return;
+      if (signal == SIGHUP) {
+        reload();
+      } else if (!stopping) {
+        begin_stop();
+      }
+      wait_signal();
+    });
+  }
+
+  void begin_stop() {
+    stopping = true;
+    stop_begun = now();
+    log.line(LineClass::kBelief, "stopping",
+             {{"requests", static_cast<std::int64_t>(ingress.active())},
+              {"runs", static_cast<std::int64_t>(gate.active())}});
+    calls.drain();
+    gate.stop_taking();
+  }
+
+  void schedule_tick() {
+    ticker.expires_after(kTickInterval);
+    ticker.async_wait([this](const error_code& error) {
+      if (error) return;
+      tick();
+      schedule_tick();
+    });
+  }
+
+  void tick() {
+    const core::TimePoint time = now();
+    refresh_own_entry();
+    fleet.tick(time);
+    gate.tick(time);
+    ingress.tick(time);
+    if (time >= sweep_due) {
+      sweep_due = time + kSweepInterval;
+      calls.sweep(time);
+      control.sweep(time);
+      ready.sweep(time);
+      admin.sweep(time);
+      tally.tick(time);
+    }
+    if (time >= status_due) {
+      status_due = time + kStatusInterval;
+      peers.broadcast(status());
+    }
+    if (time >= settings_due) {
+      settings_due = time + kSettingsInterval;
+      check_settings();
+    }
+    if (stopping) check_stopped(time);
+  }
+
+  void check_stopped(core::TimePoint time) {
+    const core::Duration passed = time - stop_begun;
+    const bool idle = ingress.active() == 0 && gate.active() == 0 && calls.busy_sessions() == 0;
+    if (passed < settings.promises.grace - kGraceReserve && (passed < kStopNotice || !idle)) return;
+    end = idle ? DaemonEnd::kFinished : DaemonEnd::kCutOff;
+    log.line(LineClass::kBelief, "stopped",
+             {{"finished", idle}, {"requests", static_cast<std::int64_t>(ingress.active())}});
+    io.stop();
+  }
+
+  MeshSettings settings;
+  std::filesystem::path settings_path;
+  std::filesystem::file_time_type settings_time;
+  const Adapter& adapter;
+  std::string self;
+  core::Incarnation incarnation;
+  std::string left_server;
+  std::string configuration_document;
+  std::map<std::string, core::TimePoint> lagging;
+  bool stopping = false;
+  core::TimePoint stop_begun;
+  core::TimePoint sweep_due;
+  core::TimePoint status_due;
+  core::TimePoint settings_due;
+  DaemonEnd end = DaemonEnd::kFinished;
+
+  asio::io_context io{1};
+  EventLog log;
+  metrics::Registry registry;
+  quarantine::CrashTally tally;
+  placement::ServerPool pool;
+  entrance::CallGraph graph;
+  GateHost gate;
+  Fleet fleet;
+  Ingress ingress;
+  PeerListener peers;
+  StoreClient store;
+  HttpListener calls;
+  HttpListener ready;
+  HttpListener control;
+  HttpListener admin;
+  asio::steady_timer ticker;
+  asio::signal_set signals;
+};
+
+Daemon::Daemon(const MeshSettings& settings, std::filesystem::path settings_path, const Adapter& adapter)
+    : impl_(std::make_unique<Impl>(settings, std::move(settings_path), adapter)) {}
+
+Daemon::~Daemon() = default;
+
+DaemonEnd Daemon::run() {
+  impl_->io.run();
+  return impl_->end;
+}
+
+}  // namespace damaskthread::mesh
--- /dev/null
+++ b/src/damaskthread/mesh/fleet.cc
@@ -0,0 +1,82 @@
+#include "damaskthread/mesh/fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "damaskthread/mesh/clock.h"
+
+namespace damaskthread::mesh {
+namespace {
+
+// Longer than an ordinary outage of a domain; a daemon that is back after more connects by itself.
+constexpr core::Duration kForgetAfter = std::chrono::minutes{10};
+// Daemons that were heard from within this time are named to others.
+constexpr core::Duration kVouchFor = std::chrono::seconds{60};
+
+}  // namespace
+
+Fleet::Fleet(boost::asio::io_context& io, const peer::Member& self, core::Incarnation incarnation, EventLog& log,
+             Hooks hooks)
+    : io_(io), self_(self), incarnation_(incarnation), log_(log), hooks_(std::move(hooks)) {
+  link_hooks_.greeted = [this](PeerLink& /*link*/, const peer::Hello& hello) {
+    for (const peer::Member& member : hello.members) learn(member);
+  };
+  link_hooks_.status = [this](PeerLink& link, const peer::Status& status) {
+    hooks_.status(link.endpoint(), link.zone() == self_.zone, status);
+  };
+  link_hooks_.reachable_changed = [this](PeerLink& link) {
+    log_.line(LineClass::kBelief, "peer",
+              {{"peer", link.endpoint()},
+               {"reachable", link.reachable()},
+               {"heard_ms_ago", std::chrono::duration<double, std::milli>(now() - link.heard()).count()}});
+    hooks_.reachable(link.endpoint(), link.reachable());
+  };
+  link_hooks_.configuration = hooks_.configuration;
+  link_hooks_.crash = hooks_.crash;
+}
+
+void Fleet::learn(const peer::Member& member) {
+  if (member.endpoint == self_.endpoint || links_.contains(member.endpoint)) return;
+  const auto link = std::make_shared<PeerLink>(io_, member.endpoint, greeting(), link_hooks_);
+  links_.emplace(member.endpoint, link);
+  learned_[member.endpoint] = now();
+  link->tick(now());
+}
+
+peer::Hello Fleet::greeting() const {
+  peer::Hello hello;
+  hello.incarnation = incarnation_;
+  hello.self = self_;
+  const core::TimePoint time = now();
+  for (const auto& [endpoint, link] : links_) {
+    if (link->reachable() || time - link->heard() < kVouchFor) hello.members.push_back({endpoint, link->zone()});
+  }
+  return hello;
+}
+
+PeerLink* Fleet::link(const std::string& endpoint) const {
+  const auto found = links_.find(endpoint);
+  return found == links_.end() ? nullptr : found->second.get();
+}
+
+void Fleet::tick(core::TimePoint now) {
+  std::vector<std::shared_ptr<PeerLink>> present;
+  present.reserve(links_.size());
+  for (const auto& [endpoint, link] : links_) present.push_back(link);
+  for (const auto& link : present) {
+    link->tick(now);
+    const core::TimePoint last = std::max(link->heard(), learned_[link->endpoint()]);
+    if (link->reachable() || now - last < kForgetAfter) continue;
+    log_.line(LineClass::kBelief, "peer_forgotten", {{"peer", link->endpoint()}});
+    hooks_.forgotten(link->endpoint());
+    link->close();
+    learned_.erase(link->endpoint());
+    links_.erase(link->endpoint());
+  }
+}
+
+void Fleet::close() {
+  for (const auto& [endpoint, link] : links_) link->close();
+}
+
+}  // namespace damaskthread::mesh
--- /dev/null
+++ b/src/damaskthread/mesh/fwd.h
@@ -0,0 +1,25 @@
+#ifndef DAMASKTHREAD_MESH_FWD_H_
+#define DAMASKTHREAD_MESH_FWD_H_
+
+namespace damaskthread::mesh {
+
+struct HeaderNames;
+struct MeshSettings;
+class Adapter;
+class CallerRequest;
+class Daemon;
+class EventLog;
+class Fleet;
+class GateHost;
+class HttpConnection;
+class HttpListener;
+class Ingress;
+class PeerLink;
+class PeerListener;
+class ServerConnections;
+class StoreClient;
+class Stream;
+
+}  // namespace damaskthread::mesh
+
+#endif  // DAMASKTHREAD_MESH_FWD_H_
--- /dev/null
+++ b/src/damaskthread/mesh/gate_host.cc
@@ -0,0 +1,476 @@
+#include "damaskthread/mesh/gate_host.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+#include "damaskthread/mesh/clock.h"
+
+namespace damaskthread::mesh {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A server whose heartbeats stop is no longer believed to be there after three of them and what they may be late by.
+constexpr int kHeartbeatsMissed = 3;
+constexpr core::Duration kHeartbeatLateness = milliseconds{1000};
+// A server answers at the deadline by itself; it is cut off when it does not.
+constexpr core::Duration kDeadlineMargin = milliseconds{150};
+// A sender whose connection broke asks again within this time unless it is gone.
+constexpr core::Duration kDetachedGrace = milliseconds{400};
+// Longer than any request lives, so that a request cannot outlive the memory of its refusal.
+constexpr core::Duration kRememberEnded = seconds{20};
+// A tick that comes this late means that the process or its VM stood still.
+constexpr core::Duration kSuspension = milliseconds{400};
+// Time in which what was received during a suspension is read.
+constexpr core::Duration kAfterSuspension = milliseconds{60};
+// Requests lost within this time of each other were lost by one crash.
+constexpr core::Duration kCrashSpan = milliseconds{1500};
+constexpr core::Duration kProbeInterval = seconds{1};
+constexpr double kGhostSmoothing = 0.1;
+constexpr int kFirstFailureStatus = 300;
+constexpr int kMisdirected = 421;
+
+std::uint64_t fingerprint_of(const peer::Execute& execute) {
+  std::string text;
+  for (const std::string_view part :
+       {std::string_view(execute.service), std::string_view(execute.caller_service),
+        std::string_view(execute.request.method), std::string_view(execute.request.target),
+        std::string_view(execute.request.body)}) {
+    text.append(part).push_back('\0');
+  }
+  return XXH3_64bits(text.data(), text.size());
+}
+
+std::int64_t clock_ms(core::TimePoint time) {
+  return std::chrono::duration_cast<milliseconds>(time.time_since_epoch()).count();
+}
+
+// Statuses that tell a caller that its request did not run.
+bool promises_not_run(int status) { return status == 408 || status == kMisdirected || status == 429 || status == 503; }
+
+peer::Result outcome(const core::Verdict& verdict, bool reached_server) {
+  peer::Result result;
+  result.verdict = verdict;
+  result.reached_server = reached_server;
+  return result;
+}
+
+}  // namespace
+
+GateHost::GateHost(boost::asio::io_context& io, const Adapter& adapter, const MeshSettings& settings, EventLog& log,
+                   quarantine::CrashTally& tally, Hooks hooks)
+    : io_(io),
+      adapter_(adapter),
+      settings_(settings),
+      log_(log),
+      tally_(tally),
+      hooks_(std::move(hooks)),
+      life_(kHeartbeatsMissed * settings.heartbeat + kHeartbeatLateness),
+      budget_({settings.promises.repeat_ratio, settings.promises.repeat_window, settings.promises.repeat_slack}, now()),
+      connections_(io, adapter.headers().attempt_id),
+      last_tick_(now()) {
+  connections_.set_endpoint({settings.local_server.host, settings.local_server.port});
+}
+
+GateHost::RunPointer GateHost::find(RunKey key) const {
+  const auto found = runs_.find(key);
+  return found == runs_.end() ? nullptr : found->second;
+}
+
+bool GateHost::takes_requests(core::TimePoint now) const {
+  return !stopping_ && life_.state(now) == gate::ServerState::kReady;
+}
+
+core::Duration GateHost::transit(core::Incarnation sender, std::int64_t sent_ms, core::TimePoint now) {
+  const std::int64_t difference = clock_ms(now) - sent_ms;
+  const auto [offset, inserted] = clock_offsets_.emplace(sender.value, difference);
+  if (!inserted) offset->second = std::min(offset->second, difference);
+  return milliseconds(difference - offset->second);
+}
+
+void GateHost::execute(core::Incarnation sender, peer::Execute execute, Reply reply) {
+  const core::TimePoint time = now();
+  if (time - last_tick_ > kSuspension) hold_until_ = time + kAfterSuspension;
+  const RunKey key{sender, execute.stream};
+  if (ended_.contains(key) || runs_.contains(key)) return;  // Refused while it was still on its way.
+  const auto run = std::make_shared<Run>();
+  run->key = key;
+  run->execute = std::move(execute);
+  run->reply = std::move(reply);
+  run->arrived = time;
+  run->deadline = time + run->execute.time_left - transit(sender, run->execute.sent_ms, time);
+  run->fingerprint = fingerprint_of(run->execute);
+  runs_.emplace(key, run);
+  if (time < hold_until_) {
+    held_.push_back(run);
+    return;
+  }
+  arrive(run, time);
+}
+
+void GateHost::arrive(const RunPointer& run, core::TimePoint now) {
+  if (run->deadline <= now) return refuse(run, core::Cause::kDeadline);
+  if (tally_.held(run->fingerprint, now)) return refuse(run, core::Cause::kQuarantined);
+  const gate::ServerState state = life_.state(now);
+  if (stopping_ || state == gate::ServerState::kLeaving || state == gate::ServerState::kGone) {
+    return refuse(run, core::Cause::kLeaving);
+  }
+  if (state != gate::ServerState::kReady || life_.announcement()->service != run->execute.service) {
+    return refuse(run, core::Cause::kNoServer);
+  }
+  if (run->execute.repeat && !budget_.allow(now, hooks_.servers(run->execute.service))) {
+    return refuse(run, core::Cause::kRetryBound);
+  }
+  gate::Arrival arrival;
+  arrival.ticket = {next_ticket_++};
+  arrival.priority = run->execute.priority;
+  arrival.inner = run->execute.inner;
+  arrival.kind = run->execute.kind;
+  arrival.deadline = run->deadline;
+  arrival.patience = run->execute.patience;
+  switch (gate_.arrive(arrival, now)) {
+    case gate::Admission::kStart:
+      start(run, now);
+      return;
+    case gate::Admission::kQueue:
+      tickets_.emplace(arrival.ticket.value, run);
+      return;
+    case gate::Admission::kRefuse:
+      refuse(run, core::Cause::kOverload);
+      return;
+  }
+}
+
+void GateHost::start(const RunPointer& run, core::TimePoint now) {
+  run->running = true;
+  run->started = now;
+  if (!run->execute.repeat) budget_.on_first(now);
+  send(run, now);
+}
+
+void GateHost::send(const RunPointer& run, core::TimePoint now) {
+  const HeaderNames& names = adapter_.headers();
+  http::Request request = run->execute.request;
+  const auto time_left = std::chrono::duration_cast<milliseconds>(run->deadline - now);
+  http::set(request.headers, names.time_left_ms, std::to_string(std::max<std::int64_t>(1, time_left.count())));
+  http::set(request.headers, names.attempt_id, run->execute.attempt_id);
+  http::set(request.headers, names.caller_service, run->execute.caller_service);
+  http::set(request.headers, names.target_server, life_.announcement()->id);
+  const bool fresh = !run->execute.idempotent || run->resent;
+  run->connection = connections_.acquire(now, fresh);
+  run->connection->send(request, [this, weak = std::weak_ptr<Run>(run)](ExchangeResult exchange) {
+    if (const RunPointer self = weak.lock()) on_exchange(self, std::move(exchange));
+  });
+}
+
+void GateHost::on_exchange(const RunPointer& run, ExchangeResult&& exchange) {
+  const core::TimePoint time = now();
+  connections_.release(std::exchange(run->connection, nullptr), time);
+  const bool lost_idle = exchange.end == ExchangeEnd::kLost && exchange.reused && run->execute.idempotent;
+  if (lost_idle && !run->resent && run->deadline > time) {
+    // Most likely the server closed the connection while it was idle.
+    run->resent = true;
+    send(run, time);
+    return;
+  }
+  if (exchange.end == ExchangeEnd::kNotConnected) {
+    life_.unreachable();
+    connections_.close_idle();
+    report_crash(time);
+  } else if (exchange.end == ExchangeEnd::kLost) {
+    note_loss(run->fingerprint, time);
+  }
+  note_load(exchange.response);
+  const bool answered = exchange.end == ExchangeEnd::kAnswered;
+  peer::Result result = judge(*run, std::move(exchange), time);
+  run->running = false;
+  gate_.finish(run->execute.kind, answered && result.answered ? result.run_time : core::Duration::zero());
+  end(run, std::move(result));
+  apply_state(time);
+  advance(time);
+}
+
+peer::Result GateHost::judge(const Run& run, ExchangeResult&& exchange, core::TimePoint now) {
+  const HeaderNames& names = adapter_.headers();
+  peer::Result result;
+  result.run_time = now - run.started;
+  if (exchange.end == ExchangeEnd::kNotConnected) return outcome(core::not_run(core::Cause::kNoServer), run.resent);
+  result.reached_server = true;
+  if (exchange.end != ExchangeEnd::kAnswered) {
+    result.verdict = core::may_have_run(exchange.end == ExchangeEnd::kLost ? core::Cause::kConnection
+                                                                           : core::Cause::kIncomplete);
+    return result;
+  }
+  const http::Response& response = exchange.response;
+  if (!http::find(response.headers, names.not_run).empty() || response.status == kMisdirected) {
+    const bool misdirected = response.status == kMisdirected;
+    result.verdict = core::not_run(misdirected ? core::Cause::kServerGone : core::Cause::kOverload);
+    return result;
+  }
+  const bool sealed = !http::find(response.headers, names.seal).empty();
+  const bool success = response.status < kFirstFailureStatus;
+  const bool encoded = !http::find(response.headers, "Content-Encoding").empty();
+  if (success && (!sealed || encoded)) {
+    result.verdict = core::may_have_run(core::Cause::kIncomplete);
+    return result;
+  }
+  if (!success && (!sealed || promises_not_run(response.status))) {
+    // The server's failure cannot be passed on as it is: it would promise what is not known.
+    result.verdict = core::may_have_run(core::Cause::kConnection);
+    return result;
+  }
+  result.verdict = {core::Execution::kRan, core::Cause::kNone, core::Duration{0}};
+  result.answered = true;
+  result.response = std::move(exchange.response);
+  http::remove_hop_by_hop(result.response.headers);
+  return result;
+}
+
+void GateHost::note_load(const http::Response& response) {
+  const std::string_view text = http::find(response.headers, adapter_.headers().server_load);
+  if (text.empty()) return;
+  std::array<int, 2> values{};
+  const char* position = text.data();
+  const char* const end = text.data() + text.size();
+  for (int& value : values) {
+    const auto parsed = std::from_chars(position, end, value);
+    if (parsed.ec != std::errc()) return;
+    position = parsed.ptr;
+    if (position != end) ++position;
+  }
+  // The load is a hint that may lag: only what it says for a while beyond our own count is believed.
+  const double beyond = std::max(0, values[0] + values[1] - gate_.running());
+  ghosts_ = beyond < ghosts_ ? beyond : ghosts_ + kGhostSmoothing * (beyond - ghosts_);
+  gate_.set_occupied_elsewhere(static_cast<int>(ghosts_));
+}
+
+void GateHost::refuse(const RunPointer& run, core::Cause cause) { end(run, outcome(core::not_run(cause), false)); }
+
+void GateHost::end(const RunPointer& run, peer::Result result) {
+  runs_.erase(run->key);
+  result.stream = run->key.stream;
+  result.load = gate_.load();
+  if (!result.answered || result.response.status >= kFirstFailureStatus) {
+    const core::TimePoint time = now();
+    log_.line(LineClass::kFailed, "run",
+              {{"attempt", run->execute.attempt_id},
+               {"kind", run->execute.kind},
+               {"verdict", to_string(result.verdict.execution)},
+               {"cause", to_string(result.verdict.cause)},
+               {"status", result.response.status},
+               {"repeat", run->execute.repeat},
+               {"wait_ms", std::chrono::duration<double, std::milli>(
+                               (result.reached_server ? run->started : time) - run->arrived)
+                               .count()},
+               {"run_ms", std::chrono::duration<double, std::milli>(result.run_time).count()},
+               {"running", result.load.running},
+               {"queued", result.load.queued},
+               {"limit", result.load.limit},
+               {"server_state", gate::to_string(life_.state(time))}});
+  }
+  const Reply reply = std::exchange(run->reply, nullptr);
+  if (reply && !run->detached) reply(result);
+  if (!run->execute.idempotent) ended_[run->key] = {now() + kRememberEnded, std::move(result)};
+}
+
+void GateHost::cancel(RunKey key) {
+  const RunPointer run = find(key);
+  if (run == nullptr) return;
+  run->reply = nullptr;
+  stop_run(run);
+  advance(now());
+}
+
+void GateHost::stop_run(const RunPointer& run) {
+  std::erase(held_, run);
+  for (const auto& [ticket, waiting] : tickets_) {
+    if (waiting != run) continue;
+    gate_.withdraw({ticket});
+    tickets_.erase(ticket);
+    break;
+  }
+  if (!run->running) {
+    end(run, outcome(core::not_run(core::Cause::kCancelled), false));
+    return;
+  }
+  run->running = false;
+  if (run->connection != nullptr) run->connection->close();
+  run->connection.reset();
+  gate_.finish(run->execute.kind, core::Duration::zero());
+  end(run, outcome(core::may_have_run(core::Cause::kCancelled), true));
+}
+
+void GateHost::resume(RunKey key, bool idempotent, Reply reply) {
+  if (const RunPointer run = find(key)) {
+    run->reply = std::move(reply);
+    run->detached = false;
+    return;
+  }
+  const auto ended = ended_.find(key);
+  if (ended != ended_.end()) {
+    reply(ended->second.result);
+    return;
+  }
+  // Never seen, or idempotent and ended. The former must not run when it arrives after all.
+  peer::Result result = outcome(idempotent ? core::may_have_run(core::Cause::kConnection)
+                                           : core::not_run(core::Cause::kConnection),
+                                idempotent);
+  result.stream = key.stream;
+  result.load = gate_.load();
+  ended_[key] = {now() + kRememberEnded, result};
+  reply(result);
+}
+
+void GateHost::detach(core::Incarnation sender) {
+  const core::TimePoint time = now();
+  for (auto run = runs_.lower_bound({sender, 0}); run != runs_.end() && run->first.sender == sender; ++run) {
+    run->second->detached = true;
+    run->second->detached_at = time;
+    run->second->reply = nullptr;
+  }
+}
+
+void GateHost::hear(const gate::Announcement& announcement) {
+  const core::TimePoint time = now();
+  const gate::ServerLife::Effect effect = life_.hear(announcement, time);
+  if (effect == gate::ServerLife::Effect::kIgnored) return;
+  if (effect == gate::ServerLife::Effect::kNewLife) {
+    connections_.close_idle();
+    ghosts_ = 0;
+    gate_.set_occupied_elsewhere(0);
+    report_crash(time);
+  }
+  gate_.set_capacity(announcement.capacity);
+  apply_state(time);
+  advance(time);
+}
+
+void GateHost::depart(const std::string& server_id) {
+  const core::TimePoint time = now();
+  (void)life_.depart(server_id, time);
+  apply_state(time);
+}
+
+void GateHost::stop_taking() {
+  stopping_ = true;
+  std::vector<gate::Ticket> refused;
+  gate_.withdraw_all(refused);
+  for (const gate::Ticket ticket : refused) {
+    const auto waiting = tickets_.extract(ticket.value);
+    if (!waiting.empty()) refuse(waiting.mapped(), core::Cause::kLeaving);
+  }
+  hooks_.changed();
+}
+
+void GateHost::apply_state(core::TimePoint now) {
+  const gate::ServerState state = life_.state(now);
+  if (state == applied_state_) return;
+  applied_state_ = state;
+  const auto& announcement = life_.announcement();
+  log_.line(LineClass::kBelief, "server_state",
+            {{"server", announcement ? std::string_view(announcement->id) : std::string_view()},
+             {"service", announcement ? std::string_view(announcement->service) : std::string_view()},
+             {"state", gate::to_string(state)},
+             {"sequence", announcement ? announcement->sequence : 0},
+             {"running", gate_.running()}});
+  if (state != gate::ServerState::kReady) {
+    const core::Cause cause = state == gate::ServerState::kLeaving || state == gate::ServerState::kGone
+                                  ? core::Cause::kLeaving
+                                  : core::Cause::kNoServer;
+    std::vector<gate::Ticket> refused;
+    gate_.withdraw_all(refused);
+    for (const gate::Ticket ticket : refused) {
+      const auto waiting = tickets_.extract(ticket.value);
+      if (!waiting.empty()) refuse(waiting.mapped(), cause);
+    }
+  }
+  hooks_.changed();
+}
+
+void GateHost::advance(core::TimePoint now) {
+  std::vector<gate::Ticket> started;
+  std::vector<gate::Ticket> refused;
+  gate_.advance(now, started, refused);
+  for (const gate::Ticket ticket : refused) {
+    const auto waiting = tickets_.extract(ticket.value);
+    if (!waiting.empty()) refuse(waiting.mapped(), core::Cause::kOverload);
+  }
+  for (const gate::Ticket ticket : started) {
+    const auto waiting = tickets_.extract(ticket.value);
+    if (!waiting.empty()) start(waiting.mapped(), now);
+  }
+}
+
+void GateHost::note_loss(std::uint64_t fingerprint, core::TimePoint now) {
+  std::erase_if(losses_, [now](const Loss& loss) { return now - loss.time > kCrashSpan; });
+  losses_.push_back({fingerprint, now});
+}
+
+void GateHost::report_crash(core::TimePoint now) {
+  std::erase_if(losses_, [now](const Loss& loss) { return now - loss.time > kCrashSpan; });
+  if (losses_.empty() || !life_.announcement()) return;
+  quarantine::CrashReport report;
+  const std::string life = life_.announcement()->id + std::to_string(clock_ms(losses_.front().time));
+  report.crash = XXH3_64bits(life.data(), life.size());
+  for (const Loss& loss : losses_) report.running.push_back(loss.fingerprint);
+  losses_.clear();
+  log_.line(LineClass::kBelief, "server_crashed",
+            {{"server", life_.announcement()->id}, {"requests", static_cast<std::int64_t>(report.running.size())}});
+  if (tally_.add(report, now)) hooks_.crashed(report);
+}
+
+void GateHost::verify_server(core::TimePoint now) {
+  if (life_.state(now) != gate::ServerState::kUnverified || probe_ != nullptr || now < next_probe_) return;
+  const std::string path = hooks_.health_path(life_.announcement()->service);
+  if (path.empty()) return;
+  next_probe_ = now + kProbeInterval;
+  http::Request request;
+  request.target = path;
+  request.headers = {{"Host", http::to_string({settings_.local_server.host, settings_.local_server.port})}};
+  probe_ = std::make_shared<HttpConnection>(
+      io_, http::Endpoint{settings_.local_server.host, settings_.local_server.port}, StreamTimings{});
+  probe_->send(request, [this](const ExchangeResult& exchange) {
+    const std::string id(http::find(exchange.response.headers, adapter_.headers().server_id));
+    const bool ready = exchange.end == ExchangeEnd::kAnswered && exchange.response.status == 200;
+    log_.line(LineClass::kBelief, "server_verified", {{"server", id}, {"ready", ready}});
+    if (exchange.end == ExchangeEnd::kAnswered) life_.verify(id, ready);
+    // Deferred: the connection is still in this call.
+    boost::asio::post(io_, [this] { probe_.reset(); });
+    apply_state(mesh::now());
+  });
+}
+
+void GateHost::tick(core::TimePoint now) {
+  if (now - last_tick_ > kSuspension) {
+    log_.line(LineClass::kBelief, "suspended",
+              {{"for_ms", std::chrono::duration<double, std::milli>(now - last_tick_).count()}});
+    hold_until_ = now + kAfterSuspension;
+  }
+  last_tick_ = now;
+  if (now >= hold_until_) {
+    for (const RunPointer& run : std::exchange(held_, {})) arrive(run, now);
+  }
+  apply_state(now);
+  if (now >= hold_until_) advance(now);
+  verify_server(now);
+  std::vector<RunPointer> over;
+  for (const auto& [key, run] : runs_) {
+    const bool expired = run->running && now > run->deadline + kDeadlineMargin;
+    const bool abandoned = run->detached && now - run->detached_at > kDetachedGrace &&
+                           (run->execute.idempotent || !run->running);
+    if (expired || abandoned) over.push_back(run);
+  }
+  for (const RunPointer& run : over) {
+    if (find(run->key) == run) stop_run(run);
+  }
+  std::erase_if(ended_, [now](const auto& entry) { return entry.second.forget_at <= now; });
+  connections_.sweep(now);
+}
+
+}  // namespace damaskthread::mesh
--- /dev/null
+++ b/src/damaskthread/mesh/http_codec.cc
@@ -0,0 +1,177 @@
+#include "damaskthread/mesh/http_codec.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/http.hpp>
+#include <cstdint>
+#include <utility>
+
+namespace damaskthread::mesh {
+namespace {
+
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using boost::system::error_code;
+
+// Servers' headers are bounded here, not by the configuration, which speaks of callers.
+constexpr std::uint32_t kResponseHeaderBytes = 64U << 10U;
+
+template <typename Fields>
+http::Headers take_headers(const Fields& fields) {
+  http::Headers headers;
+  for (const auto& field : fields) headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  return headers;
+}
+
+template <typename Parser>
+ReadState feed(Parser& parser, std::string& pending) {
+  std::size_t used = 0;
+  error_code error;
+  while (used < pending.size() && !parser.is_done()) {
+    const std::size_t taken = parser.put(boost::asio::buffer(pending.data() + used, pending.size() - used), error);
+    used += taken;
+    if (error == bhttp::error::need_more) {
+      error = {};
+      break;
+    }
+    if (error || taken == 0) break;
+  }
+  pending.erase(0, used);
+  if (parser.is_done()) return ReadState::kDone;
+  if (!error) return ReadState::kNeedMore;
+  if (error == bhttp::error::header_limit || error == bhttp::error::buffer_overflow) return ReadState::kHeaderTooLarge;
+  if (error == bhttp::error::body_limit) return ReadState::kBodyTooLarge;
+  return ReadState::kMalformed;
+}
+
+template <bool kIsRequest>
+std::string serialize(bhttp::message<kIsRequest, bhttp::string_body>& message) {
+  message.prepare_payload();
+  bhttp::serializer<kIsRequest, bhttp::string_body> serializer(message);
+  std::string bytes;
+  error_code error;
+  while (!error && !serializer.is_done()) {
+    serializer.next(error, [&](error_code& step_error, const auto& buffers) {
+      step_error = {};
+      std::size_t size = 0;
+      for (const auto buffer : beast::buffers_range_ref(buffers)) {
+        bytes.append(static_cast<const char*>(buffer.data()), buffer.size());
+        size += buffer.size();
+      }
+      serializer.consume(size);
+    });
+  }
+  return bytes;
+}
+
+}  // namespace
+
+struct RequestReader::Parser : bhttp::request_parser<bhttp::string_body> {};
+struct ResponseReader::Parser : bhttp::response_parser<bhttp::string_body> {};
+
+RequestReader::RequestReader(std::size_t header_bytes, std::size_t body_bytes)
+    : header_bytes_(header_bytes), body_bytes_(body_bytes) {
+  reset();
+}
+
+RequestReader::~RequestReader() = default;
+
+void RequestReader::reset() {
+  parser_ = std::make_unique<Parser>();
+  parser_->eager(true);
+  parser_->header_limit(static_cast<std::uint32_t>(header_bytes_));
+  parser_->body_limit(body_bytes_);
+}
+
+ReadState RequestReader::add(std::string_view bytes) {
+  pending_.append(bytes);
+  return proceed();
+}
+
+ReadState RequestReader::proceed() { return feed(*parser_, pending_); }
+
+bool RequestReader::begun() const noexcept { return parser_->got_some() || !pending_.empty(); }
+bool RequestReader::header_done() const noexcept { return parser_->is_header_done(); }
+
+bool RequestReader::expects_continue() const {
+  return beast::iequals(parser_->get()[bhttp::field::expect], "100-continue");
+}
+
+http::Request RequestReader::take() {
+  keep_alive_ = parser_->keep_alive();
+  auto message = parser_->release();
+  http::Request request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.headers = take_headers(message);
+  request.body = std::move(message.body());
+  reset();
+  return request;
+}
+
+ResponseReader::ResponseReader() { reset(); }
+ResponseReader::~ResponseReader() = default;
+
+void ResponseReader::reset() {
+  parser_ = std::make_unique<Parser>();
+  parser_->eager(true);
+  parser_->header_limit(kResponseHeaderBytes);
+  parser_->body_limit(boost::none);
+}
+
+ReadState ResponseReader::add(std::string_view bytes) {
+  pending_.append(bytes);
+  return proceed();
+}
+
+ReadState ResponseReader::proceed() {
+  for (;;) {
+    const ReadState state = feed(*parser_, pending_);
+    if (state != ReadState::kDone || parser_->get().result_int() >= 200) return state;
+    reset();  // An interim answer; the final one follows.
+    if (pending_.empty()) return ReadState::kNeedMore;
+  }
+}
+
+ReadState ResponseReader::end() {
+  if (!parser_->got_some()) return ReadState::kMalformed;
+  error_code error;
+  parser_->put_eof(error);
+  return !error && parser_->is_done() ? ReadState::kDone : ReadState::kMalformed;
+}
+
+bool ResponseReader::begun() const noexcept { return parser_->got_some() || !pending_.empty(); }
+
+http::Response ResponseReader::take() {
+  keep_alive_ = parser_->keep_alive();
+  auto message = parser_->release();
+  http::Response response;
+  response.status = static_cast<int>(message.result_int());
+  response.headers = take_headers(message);
+  response.body = std::move(message.body());
+  reset();
+  return response;
+}
+
+std::string to_bytes(const http::Request& request) {
+  bhttp::request<bhttp::string_body> message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  for (const http::Header& header : request.headers) message.insert(header.name, header.value);
+  message.body() = request.body;
+  return serialize<true>(message);
+}
+
+std::string to_bytes(const http::Response& response, bool close) {
+  bhttp::response<bhttp::string_body> message;
+  message.version(11);
+  message.result(static_cast<unsigned>(response.status));
+  message.reason(bhttp::obsolete_reason(message.result()));
+  for (const http::Header& header : response.headers) message.insert(header.name, header.value);
+  message.body() = response.body;
+  message.keep_alive(!close);
+  return serialize<false>(message);
+}
+
+}  // namespace damaskthread::mesh
--- /dev/null
+++ b/src/damaskthread/mesh/http_listener.cc
@@ -0,0 +1,178 @@
+#include "damaskthread/mesh/http_listener.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <utility>
+#include <vector>
+
+#include "damaskthread/mesh/clock.h"
+
+namespace damaskthread::mesh {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr int kBacklog = 1024;
+// A caller that sends ahead while its request runs is held back beyond this.
+constexpr std::size_t kMaxWaitingBytes = std::size_t{64} << 10U;
+constexpr int kBadRequest = 400;
+constexpr int kTimeout = 408;
+constexpr int kTooLarge = 413;
+constexpr int kHeaderTooLarge = 431;
+
+int status_of(ReadState state) {
+  if (state == ReadState::kHeaderTooLarge) return kHeaderTooLarge;
+  return state == ReadState::kBodyTooLarge ? kTooLarge : kBadRequest;
+}
+
+}  // namespace
+
+void CallerRequest::answer(const http::Response& response) {
+  if (done_) return;
+  done_ = true;
+  gone_callback_ = nullptr;
+  const auto send = std::exchange(send_, nullptr);
+  if (send) send(response);
+}
+
+Session::Session(HttpListener& listener, Stream::Socket socket)
+    : listener_(listener),
+      stream_(std::make_shared<Stream>(std::move(socket), StreamTimings{})),
+      reader_(listener.bounds_.header_bytes, listener.bounds_.body_bytes),
+      last_activity_(now()) {}
+
+void Session::start() { stream_->start(this); }
+
+void Session::on_bytes(std::string_view bytes) {
+  const auto self = shared_from_this();
+  last_activity_ = now();
+  if (current_ != nullptr) {
+    // The next request of a caller that does not wait for its answer; it is read when this one is done.
+    early_bytes_.append(bytes);
+    if (early_bytes_.size() > kMaxWaitingBytes) stream_->pause();
+    return;
+  }
+  handle(reader_.add(bytes));
+}
+
+void Session::handle(ReadState state) {
+  if (state == ReadState::kDone) {
+    dispatch();
+    return;
+  }
+  if (state != ReadState::kNeedMore) {
+    reject(status_of(state));
+    return;
+  }
+  if (!continued_ && reader_.header_done() && reader_.expects_continue()) {
+    continued_ = true;
+    stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void Session::dispatch() {
+  continued_ = false;
+  current_ = std::make_shared<CallerRequest>(reader_.take(), last_activity_);
+  const auto request = current_;
+  request->send_ = [weak = weak_from_this()](const http::Response& response) {
+    if (const auto self = weak.lock()) self->send(response);
+  };
+  listener_.handler_(request);
+}
+
+void Session::send(const http::Response& response) {
+  if (current_ == nullptr) return;
+  current_.reset();
+  last_activity_ = now();
+  const bool close = listener_.draining_ || !reader_.keep_alive();
+  stream_->write(to_bytes(response, close));
+  if (close) {
+    stream_->close_after_write();
+    listener_.sessions_.erase(shared_from_this());
+    return;
+  }
+  stream_->resume();
+  if (reader_.waiting_bytes() == 0 && early_bytes_.empty()) return;
+  // Not from within the handler of the request that was just answered.
+  boost::asio::post(listener_.acceptor_.get_executor(), [self = shared_from_this()] {
+    if (self->current_ != nullptr || !self->stream_->open()) return;
+    self->handle(self->reader_.add(std::exchange(self->early_bytes_, {})));
+  });
+}
+
+void Session::reject(int status) {
+  http::Response response;
+  response.status = status;
+  stream_->write(to_bytes(response, true));
+  stream_->close_after_write();
+  listener_.sessions_.erase(shared_from_this());
+}
+
+void Session::on_end(StreamEnd /*end*/) { drop(); }
+
+void Session::drop() {
+  const auto self = shared_from_this();
+  stream_->close();
+  listener_.sessions_.erase(self);
+  const auto request = std::exchange(current_, nullptr);
+  if (request == nullptr) return;
+  request->done_ = true;
+  const auto gone = std::exchange(request->gone_callback_, nullptr);
+  if (gone) gone();
+}
+
+void Session::sweep(core::TimePoint now) {
+  if (current_ != nullptr) return;
+  const core::Duration silent = now - last_activity_;
+  if (idle()) {
+    if (silent > listener_.bounds_.idle_time) drop();
+    return;
+  }
+  if (silent > listener_.bounds_.header_time) reject(kTimeout);
+}
+
+HttpListener::HttpListener(asio::io_context& io, const http::Endpoint& endpoint, std::size_t max_sessions,
+                           RequestHandler handler)
+    : acceptor_(io), max_sessions_(max_sessions), handler_(std::move(handler)) {
+  const asio::ip::tcp::endpoint address(asio::ip::make_address(endpoint.host), endpoint.port);
+  acceptor_.open(address.protocol());
+  acceptor_.set_option(asio::socket_base::reuse_address(true));
+  acceptor_.bind(address);
+  acceptor_.listen(kBacklog);
+  accept();
+}
+
+HttpListener::~HttpListener() { close(); }
+
+void HttpListener::accept() {
+  acceptor_.async_accept([this](const error_code& error, Stream::Socket socket) {
+    if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
+    if (!error && sessions_.size() < max_sessions_) {
+      const auto session = std::make_shared<Session>(*this, std::move(socket));
+      sessions_.insert(session);
+      session->start();
+    }
+    accept();
+  });
+}
+
+void HttpListener::sweep(core::TimePoint now) {
+  const std::vector<std::shared_ptr<Session>> sessions(sessions_.begin(), sessions_.end());
+  for (const auto& session : sessions) session->sweep(now);
+}
+
+void HttpListener::close() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  const std::vector<std::shared_ptr<Session>> sessions(sessions_.begin(), sessions_.end());
+  for (const auto& session : sessions) session->drop();
+}
+
+std::size_t HttpListener::busy_sessions() const {
+  return static_cast<std::size_t>(
+      std::count_if(sessions_.begin(), sessions_.end(), [](const auto& session) { return !session->idle(); }));
+}
+
+}  // namespace damaskthread::mesh
--- /dev/null
+++ b/src/damaskthread/mesh/ingress.cc
@@ -0,0 +1,340 @@
+#include "damaskthread/mesh/ingress.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <chrono>
+#include <cstdio>
+#include <random>
+#include <utility>
+
+#include "damaskthread/mesh/clock.h"
+
+namespace damaskthread::mesh {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr core::Duration kDefaultDeadline = seconds{10};
+constexpr core::Duration kMaxDeadline = std::chrono::minutes{10};
+// A server that answers at the deadline it was given needs this long until its answer is here.
+constexpr core::Duration kAnswerMargin = milliseconds{100};
+// A request for which no server can be reached waits this long for one: longer than a daemon needs to notice a restart.
+constexpr core::Duration kServerWait = milliseconds{150};
+constexpr core::Duration kObserveInterval = milliseconds{100};
+constexpr core::Duration kReturnSoon = milliseconds{300};
+constexpr core::Duration kLeastReturn = milliseconds{100};
+// Callers honour a hint up to this share of the time that they have left.
+constexpr double kHonouredShare = 1.0 / 3;
+// Share of the objective that a new request may wait for a slot: the run itself needs the rest.
+constexpr double kWaitShare = 0.25;
+constexpr double kOverloadPressure = 0.05;
+
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr int kBadGateway = 502;
+constexpr int kGatewayTimeout = 504;
+constexpr int kServerFailure = 500;
+
+core::Duration scaled(core::Duration time, double factor) {
+  return std::chrono::duration_cast<core::Duration>(time * factor);
+}
+
+core::Duration deadline_of(std::string_view text) {
+  std::int64_t value = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (parsed.ec != std::errc() || value <= 0) return kDefaultDeadline;
+  return std::min<core::Duration>(milliseconds(value), kMaxDeadline);
+}
+
+std::string seconds_text(core::Duration time) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(time).count());
+  return text.data();
+}
+
+double ms(core::Duration time) { return std::chrono::duration<double, std::milli>(time).count(); }
+
+}  // namespace
+
+Ingress::Ingress(Parts parts, std::string self, core::Incarnation incarnation)
+    : parts_(parts), self_(std::move(self)), incarnation_(incarnation), random_(incarnation.value) {}
+
+void Ingress::set_table(std::shared_ptr<const route::RouteTable> table) {
+  table_ = std::move(table);
+  split_.reset();
+  ranks_.clear();
+  for (const route::Route& route : table_->routes()) ranks_.push_back(route.priority);
+  std::sort(ranks_.begin(), ranks_.end());
+  ranks_.erase(std::unique(ranks_.begin(), ranks_.end()), ranks_.end());
+}
+
+void Ingress::refuse_now(const std::shared_ptr<CallerRequest>& caller, int status, std::string_view reason,
+                         core::Duration retry_after) {
+  http::Response response;
+  response.status = status;
+  if (retry_after > core::Duration::zero()) {
+    http::set(response.headers, parts_.adapter.headers().retry_after, seconds_text(retry_after));
+  }
+  const std::string_view attempt = http::find(caller->request.headers, parts_.adapter.headers().attempt_id);
+  parts_.log.line(LineClass::kFailed, "request",
+                  {{"attempt", attempt}, {"status", status}, {"outcome", reason}, {"target", caller->request.target}});
+  caller->answer(response);
+}
+
+void Ingress::handle(const std::shared_ptr<CallerRequest>& caller) {
+  const core::TimePoint time = now();
+  const HeaderNames& names = parts_.adapter.headers();
+  if (table_ == nullptr) return refuse_now(caller, kUnavailable, "no configuration yet", kReturnSoon);
+  const http::Headers& headers = caller->request.headers;
+  const route::Route* route = table_->find(http::find(headers, "Host"), caller->request.target);
+  if (route == nullptr) return refuse_now(caller, kNotFound, "no route", core::Duration::zero());
+
+  const auto exchange = std::make_shared<Exchange>();
+  exchange->number = next_number_++;
+  exchange->caller = caller;
+  exchange->table = table_;
+  exchange->route = route;
+  exchange->service = split_.next(*route, random_).service;
+  exchange->attempt_id = http::find(headers, names.attempt_id);
+  exchange->received = caller->received;
+  exchange->deadline = caller->received + deadline_of(http::find(headers, names.time_left_ms));
+  exchange->answer_by = exchange->deadline;
+  if (route->timeout > core::Duration::zero()) {
+    exchange->answer_by = std::min(exchange->answer_by, caller->received + route->timeout);
+  }
+  http::remove_hop_by_hop(caller->request.headers);
+  exchanges_.emplace(exchange->number, exchange);
+  caller->on_gone([this, exchange] {
+    withdraw(*exchange);
+    exchanges_.erase(exchange->number);
+  });
+  if (!admitted(*exchange, time)) return refuse(exchange, core::Cause::kOverload);
+  place(exchange, time);
+}
+
+bool Ingress::admitted(const Exchange& exchange, core::TimePoint now) {
+  if (exchange.inner) return true;
+  const double share =
+      throttle_.admitted_share(parts_.graph.needed(exchange.service, now), exchange.route->priority, ranks_);
+  return share >= 1 || std::uniform_real_distribution<double>(0, 1)(random_) < share;
+}
+
+bool Ingress::overloaded(const std::string& service, core::TimePoint now) {
+  const std::vector<std::string> needed = parts_.graph.needed(service, now);
+  return std::any_of(needed.begin(), needed.end(), [this](const std::string& name) {
+    return throttle_.pressure(name) > kOverloadPressure;
+  });
+}
+
+void Ingress::place(const ExchangePointer& exchange, core::TimePoint now) {
+  placement::Need need;
+  need.service = exchange->service;
+  need.kind = exchange->route->name;
+  need.objective = exchange->route->objective;
+  need.tried = exchange->tried;
+  const auto chosen = parts_.pool.choose(need, now, random_);
+  if (chosen) {
+    hand_over(exchange, *chosen, now);
+    return;
+  }
+  exchange->placed = false;
+  if (exchange->tried.empty() && now - exchange->received < kServerWait) return;  // Tried again by `tick`.
+  if (exchange->may_have_run) {
+    fail(exchange, kBadGateway, exchange->last_cause);
+  } else {
+    refuse(exchange, exchange->last_cause == core::Cause::kNone ? core::Cause::kNoServer : exchange->last_cause);
+  }
+}
+
+void Ingress::hand_over(const ExchangePointer& exchange, const std::string& endpoint, core::TimePoint now) {
+  peer::Execute execute;
+  execute.stream = next_number_++;
+  execute.attempt_id = exchange->attempt_id;
+  execute.service = exchange->service;
+  execute.kind = exchange->route->name;
+  execute.caller_service = local_service_;
+  execute.idempotent = exchange->route->idempotent;
+  execute.priority = exchange->route->priority;
+  execute.inner = exchange->inner;
+  execute.repeat = exchange->servers_reached > 0;
+  execute.time_left = exchange->answer_by - now;
+  execute.patience = exchange->inner ? execute.time_left : scaled(exchange->route->objective, kWaitShare);
+  execute.sent_ms = std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count();
+  execute.request = exchange->caller->request;
+  exchange->endpoint = endpoint;
+  exchange->stream = execute.stream;
+  exchange->placed = true;
+  exchange->placed_at = now;
+  exchange->tried.push_back(endpoint);
+  parts_.pool.sent(endpoint);
+  const std::uint64_t stream = execute.stream;
+  const auto ended = [this, exchange, stream](const peer::Result& result) { on_result(exchange, stream, result); };
+  if (endpoint == self_) {
+    parts_.gate.execute(incarnation_, std::move(execute), ended);
+    return;
+  }
+  PeerLink* const link = parts_.fleet.link(endpoint);
+  if (link == nullptr) return place(exchange, now);
+  link->execute(execute, {ended, [this, exchange, stream] { on_interrupted(exchange, stream); }});
+}
+
+void Ingress::withdraw(Exchange& exchange) {
+  if (!exchange.placed) return;
+  exchange.placed = false;
+  if (exchange.endpoint == self_) {
+    parts_.gate.cancel({incarnation_, exchange.stream});
+  } else if (PeerLink* const link = parts_.fleet.link(exchange.endpoint)) {
+    link->cancel(exchange.stream);
+  }
+}
+
+void Ingress::on_interrupted(const ExchangePointer& exchange, std::uint64_t stream) {
+  if (!exchange->placed || exchange->stream != stream) return;
+  peer::Result lost;
+  lost.verdict = core::may_have_run(core::Cause::kConnection);
+  lost.reached_server = true;
+  withdraw(*exchange);
+  exchange->placed = true;
+  on_result(exchange, stream, lost);
+}
+
+void Ingress::on_result(const ExchangePointer& exchange, std::uint64_t stream, const peer::Result& result) {
+  if (!exchange->placed || exchange->stream != stream) return;
+  exchange->placed = false;
+  if (result.reached_server) ++exchange->servers_reached;
+  const bool failed = result.answered ? result.response.status >= kServerFailure : result.reached_server;
+  if (result.reached_server) {
+    parts_.pool.finished(exchange->endpoint, exchange->route->name, result.run_time, failed);
+  } else {
+    parts_.pool.refused(exchange->endpoint, now());
+    ++exchange->refusals;
+  }
+  if (exchange->caller->done()) return;
+  take_step(exchange, result, now());
+}
+
+void Ingress::take_step(const ExchangePointer& exchange, const peer::Result& result, core::TimePoint now) {
+  retry::PlacementFacts facts;
+  facts.idempotent = exchange->route->idempotent;
+  facts.verdict = result.verdict;
+  facts.answered = result.answered;
+  facts.status = result.response.status;
+  facts.servers_reached = exchange->servers_reached;
+  facts.max_servers = std::max(1, exchange->route->max_servers);
+  facts.refusals = exchange->refusals;
+  facts.time_left = exchange->answer_by - now;
+  facts.typical_run = result.load.run_time;
+  facts.overloaded = overloaded(exchange->service, now);
+  placement::Need need;
+  need.service = exchange->service;
+  need.kind = exchange->route->name;
+  need.tried = exchange->tried;
+  facts.others = parts_.pool.choose(need, now, random_).has_value();
+  exchange->last_cause = result.verdict.cause;
+  if (!result.answered && result.verdict.execution != core::Execution::kNotRun) exchange->may_have_run = true;
+  switch (retry::next_step(facts)) {
+    case retry::NextStep::kPassOn:
+      pass_on(exchange, result);
+      return;
+    case retry::NextStep::kPlaceAgain:
+      place(exchange, now);
+      return;
+    case retry::NextStep::kRefuse:
+      if (exchange->may_have_run) {
+        fail(exchange, kBadGateway, result.verdict.cause);
+      } else {
+        refuse(exchange, result.verdict.cause);
+      }
+      return;
+    case retry::NextStep::kFail:
+      fail(exchange, kBadGateway, result.verdict.cause);
+      return;
+  }
+}
+
+core::Duration Ingress::return_after(const Exchange& exchange, core::TimePoint now) {
+  // A caller that returns in time for its objective is served for its full worth; later than a third of its time it
+  // does not wait. Returns are spread, so that they do not come as one wave.
+  const core::Duration honoured = scaled(exchange.deadline - now, kHonouredShare);
+  const core::Duration useful = scaled(exchange.route->objective - (now - exchange.received), 0.5);
+  const core::Duration longest = std::clamp(useful, std::min(kLeastReturn, honoured), std::max(kLeastReturn, honoured));
+  return scaled(longest, std::uniform_real_distribution<double>(0.4, 1.0)(random_));
+}
+
+void Ingress::pass_on(const ExchangePointer& exchange, const peer::Result& result) {
+  finish(exchange, result.response, "served", core::Cause::kNone);
+}
+
+void Ingress::refuse(const ExchangePointer& exchange, core::Cause cause) {
+  http::Response response;
+  response.status = kUnavailable;
+  http::set(response.headers, parts_.adapter.headers().retry_after, seconds_text(return_after(*exchange, now())));
+  finish(exchange, std::move(response), "refused", cause);
+}
+
+void Ingress::fail(const ExchangePointer& exchange, int status, core::Cause cause) {
+  http::Response response;
+  response.status = status;
+  finish(exchange, std::move(response), "failed", cause);
+}
+
+void Ingress::finish(const ExchangePointer& exchange, http::Response response, std::string_view outcome,
+                     core::Cause cause) {
+  const core::TimePoint time = now();
+  const bool served = outcome == "served" && response.status < kServerFailure;
+  parts_.log.line(served ? LineClass::kServed : LineClass::kFailed, "request",
+                  {{"attempt", exchange->attempt_id},
+                   {"route", exchange->route->name},
+                   {"service", exchange->service},
+                   {"status", response.status},
+                   {"outcome", outcome},
+                   {"cause", to_string(cause)},
+                   {"inner", exchange->inner},
+                   {"at", exchange->endpoint},
+                   {"servers", exchange->servers_reached},
+                   {"refusals", exchange->refusals},
+                   {"took_ms", ms(time - exchange->received)},
+                   {"left_ms", ms(exchange->deadline - time)},
+                   {"configuration", static_cast<std::int64_t>(exchange->table->version())},
+                   {"pressure", throttle_.pressure(exchange->service)}});
+  parts_.registry
+      .counter("damaskthread_requests_total", "Requests by route, outcome and cause.",
+               {{"route", exchange->route->name},
+                {"outcome", std::string(outcome)},
+                {"cause", std::string(to_string(cause))}})
+      .count();
+  exchanges_.erase(exchange->number);
+  exchange->caller->answer(response);
+}
+
+void Ingress::tick(core::TimePoint now) {
+  if (now - last_observed_ >= kObserveInterval && table_ != nullptr) {
+    const core::Duration elapsed = std::min<core::Duration>(now - last_observed_, 2 * kObserveInterval);
+    last_observed_ = now;
+    for (const std::string& service : table_->service_names()) {
+      throttle_.observe(service, parts_.pool.total(service), elapsed);
+    }
+  }
+  std::vector<ExchangePointer> present;
+  for (const auto& [number, exchange] : exchanges_) {
+    if (!exchange->placed || now > exchange->answer_by + kAnswerMargin) present.push_back(exchange);
+  }
+  for (const ExchangePointer& exchange : present) {
+    if (exchange->caller->done()) continue;
+    if (now <= exchange->answer_by + kAnswerMargin) {
+      if (!exchange->placed) place(exchange, now);
+      continue;
+    }
+    const bool unplaced = !exchange->placed && !exchange->may_have_run;
+    withdraw(*exchange);
+    if (unplaced) {
+      refuse(exchange, core::Cause::kNoServer);
+    } else {
+      fail(exchange, kGatewayTimeout, core::Cause::kDeadline);
+    }
+  }
+}
+
+}  // namespace damaskthread::mesh
--- /dev/null
+++ b/src/damaskthread/mesh/ingress.h
@@ -0,0 +1,118 @@
+#ifndef DAMASKTHREAD_MESH_INGRESS_H_
+#define DAMASKTHREAD_MESH_INGRESS_H_
+
+/// @file
+/// @brief Takes requests of callers and of the server beside the daemon, and sees each through to its answer.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "damaskthread/core/types.h"
+#include "damaskthread/entrance/call_graph.h"
+#include "damaskthread/entrance/throttle.h"
+#include "damaskthread/mesh/adapter.h"
+#include "damaskthread/mesh/event_log.h"
+#include "damaskthread/mesh/fleet.h"
+#include "damaskthread/mesh/gate_host.h"
+#include "damaskthread/mesh/http_listener.h"
+#include "damaskthread/metrics/registry.h"
+#include "damaskthread/placement/server_pool.h"
+#include "damaskthread/retry/next_step.h"
+#include "damaskthread/route/route_table.h"
+#include "damaskthread/route/weighted_split.h"
+
+namespace damaskthread::mesh {
+
+class Ingress {
+ public:
+  struct Parts {
+    const Adapter& adapter;
+    EventLog& log;
+    metrics::Registry& registry;
+    placement::ServerPool& pool;
+    entrance::CallGraph& graph;
+    Fleet& fleet;
+    GateHost& gate;
+  };
+
+  /// @param self Address of this daemon; names the local server in the pool.
+  Ingress(Parts parts, std::string self, core::Incarnation incarnation);
+
+  /// @brief Puts a configuration in force for the requests that come from now on.
+  void set_table(std::shared_ptr<const route::RouteTable> table);
+  /// @brief Sets the service of the server beside the daemon, at which requests begin.
+  void set_local_service(const std::string& service) { local_service_ = service; }
+
+  /// @brief Handles a request.
+  void handle(const std::shared_ptr<CallerRequest>& caller);
+  void tick(core::TimePoint now);
+
+  [[nodiscard]] std::size_t active() const noexcept { return exchanges_.size(); }
+  [[nodiscard]] const std::shared_ptr<const route::RouteTable>& table() const noexcept { return table_; }
+
+ private:
+  // One request from its arrival to its answer.
+  struct Exchange {
+    std::uint64_t number = 0;
+    std::shared_ptr<CallerRequest> caller;
+    std::shared_ptr<const route::RouteTable> table;
+    const route::Route* route = nullptr;
+    std::string service;
+    std::string attempt_id;
+    bool inner = false;
+    core::TimePoint received;
+    /// When the caller gives up.
+    core::TimePoint deadline;
+    /// When the caller has to have its answer.
+    core::TimePoint answer_by;
+    std::vector<std::string> tried;
+    int servers_reached = 0;
+    int refusals = 0;
+    /// Where the request is now: the daemon and the number of this placement.
+    std::string endpoint;
+    std::uint64_t stream = 0;
+    bool placed = false;
+    /// It may have run at a server whose answer is lost.
+    bool may_have_run = false;
+    core::Cause last_cause = core::Cause::kNone;
+    core::TimePoint placed_at;
+  };
+  using ExchangePointer = std::shared_ptr<Exchange>;
+
+  void refuse_now(const std::shared_ptr<CallerRequest>& caller, int status, std::string_view reason,
+                  core::Duration retry_after);
+  [[nodiscard]] bool admitted(const Exchange& exchange, core::TimePoint now);
+  void place(const ExchangePointer& exchange, core::TimePoint now);
+  void hand_over(const ExchangePointer& exchange, const std::string& endpoint, core::TimePoint now);
+  void on_result(const ExchangePointer& exchange, std::uint64_t stream, const peer::Result& result);
+  void on_interrupted(const ExchangePointer& exchange, std::uint64_t stream);
+  void take_step(const ExchangePointer& exchange, const peer::Result& result, core::TimePoint now);
+  void withdraw(Exchange& exchange);
+  void pass_on(const ExchangePointer& exchange, const peer::Result& result);
+  void refuse(const ExchangePointer& exchange, core::Cause cause);
+  void fail(const ExchangePointer& exchange, int status, core::Cause cause);
+  void finish(const ExchangePointer& exchange, http::Response response, std::string_view outcome, core::Cause cause);
+  [[nodiscard]] core::Duration return_after(const Exchange& exchange, core::TimePoint now);
+  [[nodiscard]] bool overloaded(const std::string& service, core::TimePoint now);
+
+  Parts parts_;
+  std::string self_;
+  core::Incarnation incarnation_;
+  core::Random random_;
+  std::shared_ptr<const route::RouteTable> table_;
+  route::WeightedSplit split_;
+  entrance::Throttle throttle_;
+  std::vector<int> ranks_;
+  std::string local_service_;
+  std::map<std::uint64_t, ExchangePointer> exchanges_;
+  std::uint64_t next_number_ = 1;
+  core::TimePoint last_observed_;
+};
+
+}  // namespace damaskthread::mesh
+
+#endif  // DAMASKTHREAD_MESH_INGRESS_H_
--- /dev/null
+++ b/src/damaskthread/mesh/peer_link.cc
@@ -0,0 +1,194 @@
+#include "damaskthread/mesh/peer_link.h"
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "damaskthread/core/error.h"
+#include "damaskthread/mesh/clock.h"
+
+namespace damaskthread::mesh {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr StreamTimings kPeerTimings{milliseconds{700}, seconds{2}};
+constexpr core::Duration kFirstBackoff = milliseconds{100};
+constexpr core::Duration kMaxBackoff = seconds{2};
+// Two status messages and a half: a daemon that misses so many is passed over.
+constexpr core::Duration kSilence = milliseconds{1000};
+// A connection silent for this long is dialled anew: it may be dead although the daemon is not.
+constexpr core::Duration kDeadConnection = milliseconds{2000};
+
+}  // namespace
+
+PeerLink::PeerLink(boost::asio::io_context& io, std::string endpoint, const peer::Hello& greeting, const Hooks& hooks)
+    : io_(io), endpoint_(std::move(endpoint)), greeting_(greeting), hooks_(hooks), backoff_(kFirstBackoff) {}
+
+PeerLink::~PeerLink() {
+  if (stream_ != nullptr) stream_->close();
+}
+
+void PeerLink::dial(core::TimePoint /*now*/) {
+  http::Endpoint address;
+  if (!http::parse_endpoint(endpoint_, address)) return;
+  dialing_ = true;
+  reader_ = {};
+  stream_ = std::make_shared<Stream>(io_, kPeerTimings);
+  stream_->connect(address, [weak = weak_from_this()](ConnectEnd end) {
+    if (const auto self = weak.lock()) self->on_connected(end);
+  });
+}
+
+void PeerLink::on_connected(ConnectEnd end) {
+  dialing_ = false;
+  if (end != ConnectEnd::kConnected) {
+    if (end == ConnectEnd::kRefused) lose_pending();
+    next_dial_ = now() + backoff_;
+    backoff_ = std::min(2 * backoff_, kMaxBackoff);
+    return;
+  }
+  connected_ = true;
+  heard_ = now();
+  stream_->start(this);
+  std::string bytes;
+  peer::append_frame(bytes, greeting_);
+  stream_->write(bytes);
+}
+
+void PeerLink::tick(core::TimePoint now) {
+  if (!connected_) {
+    if (!dialing_ && now >= next_dial_) dial(now);
+    return;
+  }
+  const core::Duration quiet = now - heard_;
+  if (quiet > kDeadConnection) {
+    disconnect();
+    return;
+  }
+  if (greeted_) set_silent(quiet > kSilence);
+}
+
+void PeerLink::set_silent(bool silent) {
+  if (silent == silent_) return;
+  silent_ = silent;
+  hooks_.reachable_changed(*this);
+  if (silent) interrupt_pending();
+}
+
+void PeerLink::execute(const peer::Execute& execute, RunObserver observer) {
+  pending_[execute.stream] = {execute.idempotent, std::move(observer)};
+  send(execute);
+}
+
+void PeerLink::cancel(std::uint64_t stream) {
+  if (pending_.erase(stream) > 0) send(peer::Cancel{stream});
+}
+
+void PeerLink::send(const peer::Message& message) {
+  if (!greeted_) return;
+  std::string bytes;
+  peer::append_frame(bytes, message);
+  stream_->write(bytes);
+}
+
+void PeerLink::on_bytes(std::string_view bytes) {
+  const auto self = shared_from_this();
+  heard_ = now();
+  reader_.add(bytes);
+  while (connected_) {
+    const auto message = boost::leaf::try_handle_all(
+        [this]() { return reader_.next(); },
+        [this](const core::Error&) {
+          disconnect();
+          return std::optional<peer::Message>();
+        },
+        [this] {
+          disconnect();
+          return std::optional<peer::Message>();
+        });
+    if (!message) return;
+    on_message(peer::Message(*message));
+  }
+}
+
+void PeerLink::on_message(peer::Message&& message) {
+  if (const auto* hello = std::get_if<peer::Hello>(&message)) return on_hello(*hello);
+  if (!greeted_) return disconnect();
+  set_silent(false);
+  if (const auto* result = std::get_if<peer::Result>(&message)) return on_result(*result);
+  if (auto* status = std::get_if<peer::Status>(&message)) {
+    status_ = std::move(*status);
+    hooks_.status(*this, status_);
+    return;
+  }
+  if (const auto* configuration = std::get_if<peer::Configuration>(&message)) {
+    return hooks_.configuration(*configuration);
+  }
+  if (const auto* crash = std::get_if<peer::Crash>(&message)) hooks_.crash(*crash);
+}
+
+void PeerLink::on_hello(const peer::Hello& hello) {
+  if (hello.protocol != peer::kProtocolVersion) return disconnect();
+  if (hello.incarnation != incarnation_) lose_pending();
+  incarnation_ = hello.incarnation;
+  zone_ = hello.self.zone;
+  greeted_ = true;
+  silent_ = false;
+  backoff_ = kFirstBackoff;
+  for (const auto& [stream, pending] : pending_) send(peer::Resume{stream, pending.idempotent});
+  hooks_.greeted(*this, hello);
+  hooks_.reachable_changed(*this);
+}
+
+void PeerLink::on_result(const peer::Result& result) {
+  const auto found = pending_.extract(result.stream);
+  if (!found.empty()) found.mapped().observer.ended(result);
+}
+
+void PeerLink::lose_pending() {
+  const auto pending = std::exchange(pending_, {});
+  for (const auto& [stream, entry] : pending) {
+    peer::Result result;
+    result.stream = stream;
+    result.verdict = core::may_have_run(core::Cause::kCrashed);
+    result.reached_server = true;
+    result.load = status_.load;
+    entry.observer.ended(result);
+  }
+}
+
+void PeerLink::interrupt_pending() {
+  std::vector<std::function<void()>> callbacks;
+  for (const auto& [stream, entry] : pending_) {
+    if (entry.idempotent && entry.observer.interrupted) callbacks.push_back(entry.observer.interrupted);
+  }
+  for (const auto& callback : callbacks) callback();
+}
+
+void PeerLink::on_end(StreamEnd /*end*/) { disconnect(); }
+
+void PeerLink::disconnect() {
+  const auto self = shared_from_this();
+  if (stream_ != nullptr) stream_->close();
+  const bool was_reachable = reachable();
+  connected_ = false;
+  greeted_ = false;
+  silent_ = false;
+  next_dial_ = now();
+  if (was_reachable) hooks_.reachable_changed(*this);
+  interrupt_pending();
+}
+
+void PeerLink::close() {
+  if (stream_ != nullptr) stream_->close();
+  pending_.clear();
+  connected_ = false;
+  greeted_ = false;
+  next_dial_ = core::TimePoint::max();
+}
+
+}  // namespace damaskthread::mesh
--- /dev/null
+++ b/src/damaskthread/mesh/peer_listener.cc
@@ -0,0 +1,146 @@
+#include "damaskthread/mesh/peer_listener.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "damaskthread/core/error.h"
+
+namespace damaskthread::mesh {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr int kBacklog = 1024;
+constexpr StreamTimings kGuestTimings{std::chrono::milliseconds{700}, std::chrono::seconds{2}};
+
+}  // namespace
+
+// One connection of another daemon.
+class PeerListener::Guest : public StreamHandler, public std::enable_shared_from_this<Guest> {
+ public:
+  Guest(PeerListener& owner, Stream::Socket socket)
+      : owner_(owner), stream_(std::make_shared<Stream>(std::move(socket), kGuestTimings)) {}
+
+  void start() {
+    stream_->start(this);
+    send(owner_.hooks_.greeting());
+    send(owner_.hooks_.status());
+  }
+
+  void send(const peer::Message& message) {
+    std::string bytes;
+    peer::append_frame(bytes, message);
+    stream_->write(bytes);
+  }
+
+  void on_bytes(std::string_view bytes) override {
+    const auto self = shared_from_this();
+    reader_.add(bytes);
+    while (stream_->open()) {
+      auto message = boost::leaf::try_handle_all([this]() { return reader_.next(); },
+                                                 [this](const core::Error&) { return dropped(); },
+                                                 [this] { return dropped(); });
+      if (!message) return;
+      on_message(std::move(*message));
+    }
+  }
+
+  void on_end(StreamEnd /*end*/) override { drop(); }
+
+  void drop() {
+    const auto self = shared_from_this();
+    stream_->close();
+    owner_.guests_.erase(self);
+    if (sender_.value != 0 && !owner_.replaced(*this)) owner_.gate_.detach(sender_);
+  }
+
+  [[nodiscard]] core::Incarnation sender() const noexcept { return sender_; }
+
+ private:
+  std::optional<peer::Message> dropped() {
+    drop();
+    return std::nullopt;
+  }
+
+  void on_message(peer::Message&& message) {
+    if (const auto* hello = std::get_if<peer::Hello>(&message)) {
+      if (hello->protocol != peer::kProtocolVersion) return drop();
+      sender_ = hello->incarnation;
+      owner_.hooks_.greeted(*hello);
+      return;
+    }
+    if (sender_.value == 0) return drop();
+    if (auto* execute = std::get_if<peer::Execute>(&message)) {
+      owner_.gate_.execute(sender_, std::move(*execute), reply());
+    } else if (const auto* cancel = std::get_if<peer::Cancel>(&message)) {
+      owner_.gate_.cancel({sender_, cancel->stream});
+    } else if (const auto* resume = std::get_if<peer::Resume>(&message)) {
+      owner_.gate_.resume({sender_, resume->stream}, resume->idempotent, reply());
+    } else if (const auto* configuration = std::get_if<peer::Configuration>(&message)) {
+      owner_.hooks_.configuration(*configuration);
+    } else if (const auto* crash = std::get_if<peer::Crash>(&message)) {
+      owner_.hooks_.crash(*crash);
+    }
+  }
+
+  GateHost::Reply reply() {
+    return [weak = weak_from_this()](const peer::Result& result) {
+      const auto self = weak.lock();
+      if (self != nullptr) self->send(result);
+    };
+  }
+
+  PeerListener& owner_;
+  std::shared_ptr<Stream> stream_;
+  peer::FrameReader reader_;
+  core::Incarnation sender_;
+};
+
+PeerListener::PeerListener(asio::io_context& io, const http::Endpoint& endpoint, GateHost& gate, Hooks hooks)
+    : acceptor_(io), gate_(gate), hooks_(std::move(hooks)) {
+  const asio::ip::tcp::endpoint address(asio::ip::make_address(endpoint.host), endpoint.port);
+  acceptor_.open(address.protocol());
+  acceptor_.set_option(asio::socket_base::reuse_address(true));
+  acceptor_.bind(address);
+  acceptor_.listen(kBacklog);
+  accept();
+}
+
+PeerListener::~PeerListener() { close(); }
+
+void PeerListener::accept() {
+  acceptor_.async_accept([this](const error_code& error, Stream::Socket socket) {
+    if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
+    if (!error) {
+      const auto guest = std::make_shared<Guest>(*this, std::move(socket));
+      guests_.insert(guest);
+      guest->start();
+    }
+    accept();
+  });
+}
+
+bool PeerListener::replaced(const Guest& guest) const {
+  return std::any_of(guests_.begin(), guests_.end(),
+                     [&guest](const auto& other) { return other->sender() == guest.sender(); });
+}
+
+void PeerListener::broadcast(const peer::Message& message) {
+  for (const auto& guest : guests_) guest->send(message);
+}
+
+void PeerListener::close() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  const std::vector<std::shared_ptr<Guest>> guests(guests_.begin(), guests_.end());
+  for (const auto& guest : guests) guest->drop();
+}
+
+}  // namespace damaskthread::mesh
--- /dev/null
+++ b/src/damaskthread/mesh/peer_listener.h
@@ -0,0 +1,55 @@
+#ifndef DAMASKTHREAD_MESH_PEER_LISTENER_H_
+#define DAMASKTHREAD_MESH_PEER_LISTENER_H_
+
+/// @file
+/// @brief Takes the connections of other daemons that use the server beside this one.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <unordered_set>
+
+#include "damaskthread/core/types.h"
+#include "damaskthread/mesh/gate_host.h"
+#include "damaskthread/mesh/stream.h"
+#include "damaskthread/peer/frame.h"
+#include "damaskthread/peer/message.h"
+
+namespace damaskthread::mesh {
+
+class PeerListener {
+ public:
+  struct Hooks {
+    /// Makes the first message to a daemon that connects.
+    std::function<peer::Hello()> greeting;
+    std::function<peer::Status()> status;
+    std::function<void(const peer::Hello&)> greeted;
+    std::function<void(const peer::Configuration&)> configuration;
+    std::function<void(const peer::Crash&)> crash;
+  };
+
+  PeerListener(boost::asio::io_context& io, const http::Endpoint& endpoint, GateHost& gate, Hooks hooks);
+  ~PeerListener();
+
+  /// @brief Sends a message to every daemon that is connected.
+  void broadcast(const peer::Message& message);
+  void close();
+
+ private:
+  class Guest;
+
+  void accept();
+  /// Whether the daemon at the other end has opened another connection since.
+  [[nodiscard]] bool replaced(const Guest& guest) const;
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  GateHost& gate_;
+  Hooks hooks_;
+  std::unordered_set<std::shared_ptr<Guest>> guests_;
+};
+
+}  // namespace damaskthread::mesh
+
+#endif  // DAMASKTHREAD_MESH_PEER_LISTENER_H_
--- /dev/null
+++ b/src/damaskthread/mesh/settings.cc
@@ -0,0 +1,173 @@
+#include "damaskthread/mesh/settings.h"
+
+#include <array>
+#include <boost/leaf/error.hpp>
+#include <charconv>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+#include "damaskthread/settings/internal/object_reader.h"
+
+namespace damaskthread::mesh {
+namespace {
+
+namespace leaf = boost::leaf;
+using Json = nlohmann::json;
+using settings::Errors;
+using settings::internal::ObjectReader;
+using settings::internal::Presence;
+
+constexpr std::size_t kMaxFileBytes = std::size_t{1} << 20U;
+constexpr std::size_t kMaxTextLength = 128;
+constexpr std::size_t kMaxSeeds = 64;
+constexpr std::uint32_t kLeastDescriptors = 256;
+constexpr std::uint32_t kMostDescriptors = 1U << 20U;
+constexpr double kMostRatio = 10;
+constexpr double kMostSlack = 1e6;
+
+struct EndpointField {
+  const char* name;
+  settings::Endpoint MeshSettings::* member;
+};
+
+constexpr std::array<EndpointField, 4> kListenFields = {{{"calls", &MeshSettings::calls},
+                                                         {"peers", &MeshSettings::peers},
+                                                         {"ready", &MeshSettings::ready},
+                                                         {"control", &MeshSettings::control}}};
+
+// A number with the unit `ms` or `s`.
+std::optional<core::Duration> parse_time(std::string_view text) {
+  double value = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (parsed.ec != std::errc() || value < 0) return std::nullopt;
+  const std::string_view unit(parsed.ptr, static_cast<std::size_t>(text.data() + text.size() - parsed.ptr));
+  const double seconds = unit == "s" ? value : value / 1000;
+  if (unit != "s" && unit != "ms") return std::nullopt;
+  return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(seconds));
+}
+
+void read_time(ObjectReader& reader, std::string_view name, core::Duration& out) {
+  std::string text;
+  if (!reader.string(name, text, kMaxTextLength, Presence::kOptional)) return;
+  if (const auto time = parse_time(text)) {
+    out = *time;
+  } else {
+    reader.error(name, "expected a number with the unit 'ms' or 's', such as \"1500ms\"");
+  }
+}
+
+void read_number(ObjectReader& reader, std::string_view name, double& out, double most) {
+  const Json* value = reader.field(name, Presence::kOptional);
+  if (value == nullptr) return;
+  if (!value->is_number() || value->get<double>() < 0 || value->get<double>() > most) {
+    reader.error(name, "expected a number from 0 to " + std::to_string(most));
+    return;
+  }
+  out = value->get<double>();
+}
+
+void read_level(ObjectReader& reader, settings::LogLevel& out) {
+  std::string text;
+  if (!reader.string("log_level", text, kMaxTextLength, Presence::kOptional)) return;
+  for (const auto level : {settings::LogLevel::kError, settings::LogLevel::kWarn, settings::LogLevel::kInfo,
+                           settings::LogLevel::kDebug}) {
+    if (text != to_string(level)) continue;
+    out = level;
+    return;
+  }
+  reader.error("log_level", "expected error, warn, info or debug");
+}
+
+void read_promises(const Json* node, std::string_view source, Errors& errors, Promises& promises) {
+  if (node == nullptr) return;
+  ObjectReader reader(node, std::string(source), "promises", errors);
+  read_time(reader, "drain", promises.drain);
+  read_time(reader, "grace", promises.grace);
+  read_number(reader, "repeat_ratio", promises.repeat_ratio, kMostRatio);
+  read_time(reader, "repeat_window", promises.repeat_window);
+  read_number(reader, "repeat_slack", promises.repeat_slack, kMostSlack);
+  reader.report_unknown();
+}
+
+MeshSettings read(const Json& root, std::string_view source, Errors& errors) {
+  MeshSettings settings;
+  ObjectReader reader(&root, std::string(source), "", errors);
+  reader.name("name", settings.name, Presence::kRequired);
+  reader.name("service", settings.service, Presence::kOptional);
+  reader.name("zone", settings.zone, Presence::kRequired);
+  reader.endpoint("local_server", settings.local_server, Presence::kRequired);
+  reader.endpoint("store", settings.store, Presence::kRequired);
+  reader.endpoints("seeds", settings.seeds, kMaxSeeds);
+  read_time(reader, "heartbeat", settings.heartbeat);
+  reader.integer("max_descriptors", settings.max_descriptors, kLeastDescriptors, kMostDescriptors,
+                 Presence::kOptional);
+  read_level(reader, settings.log_level);
+  read_promises(reader.field("promises", Presence::kOptional), source, errors, settings.promises);
+  ObjectReader listen(reader.field("listen", Presence::kRequired), std::string(source), "listen", errors);
+  for (const EndpointField& field : kListenFields) {
+    listen.endpoint(field.name, settings.*field.member, Presence::kRequired);
+  }
+  listen.report_unknown();
+  reader.report_unknown();
+  for (std::size_t i = 0; i < kListenFields.size(); ++i) {
+    for (std::size_t j = 0; j < i; ++j) {
+      const settings::Endpoint& first = settings.*kListenFields[j].member;
+      if (first.port == 0 || !(settings.*kListenFields[i].member == first)) continue;
+      listen.error(kListenFields[i].name, std::string("the same address as ") + kListenFields[j].name);
+    }
+  }
+  return settings;
+}
+
+}  // namespace
+
+leaf::result<MeshSettings> parse_mesh_settings(std::string_view text, std::string_view source) {
+  Errors errors;
+  if (text.size() > kMaxFileBytes) {
+    return leaf::new_error(Errors{{core::ErrorCode::kTooLarge, std::string(source), "expected at most 1 MB"}});
+  }
+  try {
+    const Json root = Json::parse(text.begin(), text.end(), nullptr, true, /*ignore_comments=*/true);
+    MeshSettings settings = read(root, source, errors);
+    if (errors.empty()) return settings;
+  } catch (const Json::exception& error) {
+    errors.push_back({core::ErrorCode::kInvalidInput, std::string(source), error.what()});
+  }
+  return leaf::new_error(std::move(errors));
+}
+
+leaf::result<MeshSettings> load_mesh_settings(const std::filesystem::path& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    return leaf::new_error(Errors{{core::ErrorCode::kUnavailable, path.string(), "the file cannot be read"}});
+  }
+  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  return parse_mesh_settings(text, path.filename().string());
+}
+
+std::string describe(const MeshSettings& settings) {
+  const auto ms = [](core::Duration time) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()) + "ms";
+  };
+  std::ostringstream out;
+  out << "name: " << settings.name << "\nservice: " << settings.service << "\nzone: " << settings.zone << "\n";
+  for (const EndpointField& field : kListenFields) {
+    out << "listen." << field.name << ": " << to_string(settings.*field.member) << "\n";
+  }
+  out << "local_server: " << to_string(settings.local_server) << "\nstore: " << to_string(settings.store)
+      << "\nseeds:";
+  for (const settings::Endpoint& seed : settings.seeds) out << " " << to_string(seed);
+  out << "\nheartbeat: " << ms(settings.heartbeat) << "\nmax_descriptors: " << settings.max_descriptors
+      << "\nlog_level: " << to_string(settings.log_level) << "\npromises.drain: " << ms(settings.promises.drain)
+      << "\npromises.grace: " << ms(settings.promises.grace)
+      << "\npromises.repeat_ratio: " << settings.promises.repeat_ratio
+      << "\npromises.repeat_window: " << ms(settings.promises.repeat_window)
+      << "\npromises.repeat_slack: " << settings.promises.repeat_slack << "\n";
+  return std::move(out).str();
+}
+
+}  // namespace damaskthread::mesh
--- /dev/null
+++ b/src/damaskthread/peer/frame.cc
@@ -0,0 +1,221 @@
+#include "damaskthread/peer/frame.h"
+
+#include <array>
+#include <boost/leaf/error.hpp>
+#include <chrono>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+#include "damaskthread/core/error.h"
+
+namespace damaskthread::peer {
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kLengthBytes = 4;
+// A buffer that has been read this far is moved to its front.
+constexpr std::size_t kCompactBytes = std::size_t{64} << 10U;
+
+void append_length(std::string& out, std::size_t value) {
+  for (int shift = 24; shift >= 0; shift -= 8) out.push_back(static_cast<char>((value >> shift) & 0xFFU));
+}
+
+std::size_t read_length(std::string_view bytes) {
+  std::size_t value = 0;
+  for (std::size_t i = 0; i < kLengthBytes; ++i) value = (value << 8U) | static_cast<unsigned char>(bytes[i]);
+  return value;
+}
+
+std::int64_t to_ms(core::Duration time) { return std::chrono::duration_cast<milliseconds>(time).count(); }
+core::Duration from_ms(const Json& value) { return milliseconds(value.get<std::int64_t>()); }
+// Run times are short; milliseconds would lose most of them.
+std::int64_t to_us(core::Duration time) { return std::chrono::duration_cast<std::chrono::microseconds>(time).count(); }
+core::Duration from_us(const Json& value) { return std::chrono::microseconds(value.get<std::int64_t>()); }
+
+Json encode(const http::Headers& headers) {
+  Json list = Json::array();
+  for (const http::Header& header : headers) {
+    list.push_back(header.name);
+    list.push_back(header.value);
+  }
+  return list;
+}
+
+http::Headers decode_headers(const Json& list) {
+  http::Headers headers;
+  headers.reserve(list.size() / 2);
+  for (std::size_t i = 0; i + 1 < list.size(); i += 2) {
+    headers.push_back({list.at(i).get<std::string>(), list.at(i + 1).get<std::string>()});
+  }
+  return headers;
+}
+
+Json encode(const gate::Load& load) { return Json::array({load.limit, load.running, load.queued, to_us(load.run_time)}); }
+
+gate::Load decode_load(const Json& value) {
+  return {value.at(0).get<int>(), value.at(1).get<int>(), value.at(2).get<int>(), from_us(value.at(3))};
+}
+
+Json encode(const Member& member) { return Json::array({member.endpoint, member.zone}); }
+
+Member decode_member(const Json& value) { return {value.at(0).get<std::string>(), value.at(1).get<std::string>()}; }
+
+// The first element of each array is the index of the message in the variant.
+struct Encoder {
+  Json operator()(const Hello& hello) const {
+    Json members = Json::array();
+    for (const Member& member : hello.members) members.push_back(encode(member));
+    return Json::array({0, hello.protocol, hello.incarnation.value, encode(hello.self), std::move(members)});
+  }
+  Json operator()(const Execute& execute) const {
+    return Json::array({1, execute.stream, execute.attempt_id, execute.service, execute.kind, execute.caller_service,
+                        execute.idempotent, execute.priority, execute.inner, execute.repeat, to_ms(execute.time_left),
+                        to_ms(execute.patience), execute.sent_ms, execute.request.method, execute.request.target,
+                        encode(execute.request.headers)});
+  }
+  Json operator()(const Result& result) const {
+    return Json::array({2, result.stream, static_cast<int>(result.verdict.execution),
+                        static_cast<int>(result.verdict.cause), to_ms(result.verdict.retry_after),
+                        result.reached_server, result.answered, to_us(result.run_time), encode(result.load),
+                        result.response.status, encode(result.response.headers)});
+  }
+  Json operator()(const Cancel& cancel) const { return Json::array({3, cancel.stream}); }
+  Json operator()(const Resume& resume) const { return Json::array({4, resume.stream, resume.idempotent}); }
+  Json operator()(const Status& status) const {
+    return Json::array({5, status.configuration_version, status.service, status.server_id, status.ready,
+                        encode(status.load), status.callees});
+  }
+  Json operator()(const Configuration& configuration) const { return Json::array({6, configuration.version}); }
+  Json operator()(const Crash& crash) const { return Json::array({7, crash.report.crash, crash.report.running}); }
+};
+
+std::string_view body_of(const Message& message) {
+  if (const auto* execute = std::get_if<Execute>(&message)) return execute->request.body;
+  if (const auto* result = std::get_if<Result>(&message)) return result->response.body;
+  if (const auto* configuration = std::get_if<Configuration>(&message)) return configuration->document;
+  return {};
+}
+
+Message decode_hello(const Json& fields, std::string /*body*/) {
+  Hello hello;
+  hello.protocol = fields.at(1).get<std::uint64_t>();
+  hello.incarnation.value = fields.at(2).get<std::uint64_t>();
+  hello.self = decode_member(fields.at(3));
+  for (const Json& member : fields.at(4)) hello.members.push_back(decode_member(member));
+  return hello;
+}
+
+Message decode_execute(const Json& fields, std::string body) {
+  Execute execute;
+  execute.stream = fields.at(1).get<std::uint64_t>();
+  execute.attempt_id = fields.at(2).get<std::string>();
+  execute.service = fields.at(3).get<std::string>();
+  execute.kind = fields.at(4).get<std::string>();
+  execute.caller_service = fields.at(5).get<std::string>();
+  execute.idempotent = fields.at(6).get<bool>();
+  execute.priority = fields.at(7).get<int>();
+  execute.inner = fields.at(8).get<bool>();
+  execute.repeat = fields.at(9).get<bool>();
+  execute.time_left = from_ms(fields.at(10));
+  execute.patience = from_ms(fields.at(11));
+  execute.sent_ms = fields.at(12).get<std::int64_t>();
+  execute.request.method = fields.at(13).get<std::string>();
+  execute.request.target = fields.at(14).get<std::string>();
+  execute.request.headers = decode_headers(fields.at(15));
+  execute.request.body = std::move(body);
+  return execute;
+}
+
+Message decode_result(const Json& fields, std::string body) {
+  Result result;
+  result.stream = fields.at(1).get<std::uint64_t>();
+  result.verdict.execution = static_cast<core::Execution>(fields.at(2).get<int>());
+  result.verdict.cause = static_cast<core::Cause>(fields.at(3).get<int>());
+  result.verdict.retry_after = from_ms(fields.at(4));
+  result.reached_server = fields.at(5).get<bool>();
+  result.answered = fields.at(6).get<bool>();
+  result.run_time = from_us(fields.at(7));
+  result.load = decode_load(fields.at(8));
+  result.response.status = fields.at(9).get<int>();
+  result.response.headers = decode_headers(fields.at(10));
+  result.response.body = std::move(body);
+  return result;
+}
+
+Message decode_cancel(const Json& fields, std::string /*body*/) { return Cancel{fields.at(1).get<std::uint64_t>()}; }
+Message decode_resume(const Json& fields, std::string /*body*/) { return Resume{fields.at(1).get<std::uint64_t>(), fields.at(2).get<bool>()}; }
+
+Message decode_status(const Json& fields, std::string /*body*/) {
+  Status status;
+  status.configuration_version = fields.at(1).get<std::uint64_t>();
+  status.service = fields.at(2).get<std::string>();
+  status.server_id = fields.at(3).get<std::string>();
+  status.ready = fields.at(4).get<bool>();
+  status.load = decode_load(fields.at(5));
+  status.callees = fields.at(6).get<std::vector<std::string>>();
+  return status;
+}
+
+Message decode_configuration(const Json& fields, std::string body) {
+  return Configuration{fields.at(1).get<std::uint64_t>(), std::move(body)};
+}
+
+Message decode_crash(const Json& fields, std::string /*body*/) {
+  return Crash{{fields.at(1).get<std::uint64_t>(), fields.at(2).get<std::vector<std::uint64_t>>()}};
+}
+
+using Decoder = Message (*)(const Json&, std::string);
+constexpr std::array<Decoder, std::variant_size_v<Message>> kDecoders = {
+    decode_hello,  decode_execute, decode_result,        decode_cancel,
+    decode_resume, decode_status,  decode_configuration, decode_crash};
+
+boost::leaf::result<std::optional<Message>> malformed(const char* message) {
+  return boost::leaf::new_error(core::Error{core::ErrorCode::kInvalidInput, "peer frame", message});
+}
+
+}  // namespace
+
+void append_frame(std::string& out, const Message& message) {
+  const std::vector<std::uint8_t> fields = Json::to_cbor(std::visit(Encoder(), message));
+  const std::string_view body = body_of(message);
+  append_length(out, kLengthBytes + fields.size() + body.size());
+  append_length(out, fields.size());
+  out.append(reinterpret_cast<const char*>(fields.data()), fields.size());
+  out.append(body);
+}
+
+boost::leaf::result<std::optional<Message>> FrameReader::next() {
+  const std::string_view unread = std::string_view(buffer_).substr(begin_);
+  if (unread.size() < 2 * kLengthBytes) return std::optional<Message>();
+  const std::size_t length = read_length(unread);
+  if (length < kLengthBytes || length > kMaxFrameBytes) return malformed("the length of the frame is out of bounds");
+  if (unread.size() < kLengthBytes + length) return std::optional<Message>();
+  const std::size_t field_bytes = read_length(unread.substr(kLengthBytes));
+  if (field_bytes > length - kLengthBytes) return malformed("the fields are longer than their frame");
+  const std::string_view field_text = unread.substr(2 * kLengthBytes, field_bytes);
+  const Json fields = Json::from_cbor(field_text.begin(), field_text.end(), true, false);
+  if (!fields.is_array() || fields.empty() || !fields.front().is_number_unsigned()) {
+    return malformed("the fields are not an array that begins with a kind");
+  }
+  const auto kind = fields.front().get<std::size_t>();
+  if (kind >= kDecoders.size()) return malformed("the kind of message is unknown");
+  std::string body(unread.substr(2 * kLengthBytes + field_bytes, length - kLengthBytes - field_bytes));
+  begin_ += kLengthBytes + length;
+  try {
+    std::optional<Message> message = kDecoders[kind](fields, std::move(body));
+    if (begin_ == buffer_.size() || begin_ > kCompactBytes) {
+      buffer_.erase(0, begin_);
+      begin_ = 0;
+      if (buffer_.empty() && buffer_.capacity() > kCompactBytes) buffer_.shrink_to_fit();
+    }
+    return message;
+  } catch (const Json::exception&) {
+    return malformed("a field is missing or has another type");
+  }
+}
+
+}  // namespace damaskthread::peer
--- /dev/null
+++ b/src/damaskthread/peer/message.h
@@ -0,0 +1,114 @@
+#ifndef DAMASKTHREAD_PEER_MESSAGE_H_
+#define DAMASKTHREAD_PEER_MESSAGE_H_
+
+/// @file
+/// @brief The messages between two daemons. A daemon opens one connection to each daemon whose server it uses; requests
+/// go one way on it, results and status the other.
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "damaskthread/core/types.h"
+#include "damaskthread/core/verdict.h"
+#include "damaskthread/gate/server_gate.h"
+#include "damaskthread/http/message.h"
+#include "damaskthread/quarantine/crash_tally.h"
+
+namespace damaskthread::peer {
+
+/// Version of these messages; a daemon drops a connection whose first message carries another one.
+inline constexpr std::uint64_t kProtocolVersion = 1;
+
+/// A daemon as others know it.
+struct Member {
+  /// `ip:port` at which it takes connections of other daemons; names it.
+  std::string endpoint;
+  std::string zone;
+};
+
+/// First message in both directions.
+struct Hello {
+  std::uint64_t protocol = kProtocolVersion;
+  core::Incarnation incarnation;
+  Member self;
+  std::vector<Member> members;
+};
+
+/// Asks the daemon to have its server run a request.
+struct Execute {
+  /// Unique within one incarnation of the sender.
+  std::uint64_t stream = 0;
+  /// Identifier that the caller gave this attempt.
+  std::string attempt_id;
+  std::string service;
+  /// Name of the route; requests of one route take similar time.
+  std::string kind;
+  /// Service of the VM at which the request began.
+  std::string caller_service;
+  bool idempotent = false;
+  int priority = 0;
+  /// Sent by a running request.
+  bool inner = false;
+  /// The request was handed to another server before.
+  bool repeat = false;
+  core::Duration time_left{0};
+  core::Duration patience{0};
+  /// Sender's clock, to notice a request that was held up on its way.
+  std::int64_t sent_ms = 0;
+  http::Request request;
+};
+
+/// Ends a request.
+struct Result {
+  std::uint64_t stream = 0;
+  core::Verdict verdict;
+  /// The request was handed to the server.
+  bool reached_server = false;
+  /// The response is the server's own; otherwise only the verdict counts.
+  bool answered = false;
+  core::Duration run_time{0};
+  gate::Load load;
+  http::Response response;
+};
+
+/// Nobody waits for the request any more.
+struct Cancel {
+  std::uint64_t stream = 0;
+};
+
+/// Asks what became of a request whose connection broke. A daemon that never saw it will refuse it from then on.
+struct Resume {
+  std::uint64_t stream = 0;
+  bool idempotent = false;
+};
+
+/// Tells what a daemon believes; sent at every change and at short intervals, and thereby the sign of life.
+struct Status {
+  std::uint64_t configuration_version = 0;
+  /// Service of the server beside the daemon; empty if there is none.
+  std::string service;
+  std::string server_id;
+  bool ready = false;
+  gate::Load load;
+  /// Services that its server calls.
+  std::vector<std::string> callees;
+};
+
+/// A configuration as the operator wrote it, for a daemon that has an older one.
+struct Configuration {
+  std::uint64_t version = 0;
+  std::string document;
+};
+
+/// News of a crashed server.
+struct Crash {
+  quarantine::CrashReport report;
+};
+
+using Message = std::variant<Hello, Execute, Result, Cancel, Resume, Status, Configuration, Crash>;
+
+}  // namespace damaskthread::peer
+
+#endif  // DAMASKTHREAD_PEER_MESSAGE_H_
--- /dev/null
+++ b/src/damaskthread/placement/fwd.h
@@ -0,0 +1,12 @@
+#ifndef DAMASKTHREAD_PLACEMENT_FWD_H_
+#define DAMASKTHREAD_PLACEMENT_FWD_H_
+
+namespace damaskthread::placement {
+
+struct Report;
+struct Need;
+class ServerPool;
+
+}  // namespace damaskthread::placement
+
+#endif  // DAMASKTHREAD_PLACEMENT_FWD_H_
--- /dev/null
+++ b/src/damaskthread/retry/repeat_budget.cc
@@ -0,0 +1,49 @@
+#include "damaskthread/retry/repeat_budget.h"
+
+#include <algorithm>
+
+namespace damaskthread::retry {
+
+RepeatBudget::RepeatBudget(const RepeatBudgetOptions& options, core::TimePoint now) noexcept
+    : options_(options), begun_(now), step_begun_(now) {}
+
+void RepeatBudget::advance(core::TimePoint now) noexcept {
+  const core::Duration length = options_.window / kSteps;
+  if (now - step_begun_ > 2 * options_.window) {
+    steps_.fill({});
+    step_begun_ = now;
+    return;
+  }
+  while (now - step_begun_ >= length) {
+    step_begun_ += length;
+    present_ = (present_ + 1) % steps_.size();
+    steps_[present_] = {};
+  }
+}
+
+void RepeatBudget::on_first(core::TimePoint now) noexcept {
+  advance(now);
+  steps_[present_].firsts += 1;
+}
+
+void RepeatBudget::on_repeat(core::TimePoint now, double weight) noexcept {
+  advance(now);
+  steps_[present_].repeats += weight;
+}
+
+bool RepeatBudget::allow(core::TimePoint now, int servers, double weight) noexcept {
+  advance(now);
+  double firsts = 0;
+  double repeats = 0;
+  for (const Step& step : steps_) {
+    firsts += step.firsts;
+    repeats += step.repeats;
+  }
+  // An earlier life of this daemon may have used the slack of the present window.
+  const double slack = now - begun_ < options_.window ? 0 : options_.slack / std::max(1, servers);
+  if (repeats + weight > options_.usable_share * (options_.ratio * firsts + slack)) return false;
+  steps_[present_].repeats += weight;
+  return true;
+}
+
+}  // namespace damaskthread::retry
--- /dev/null
+++ b/src/damaskthread/route/fwd.h
@@ -0,0 +1,14 @@
+#ifndef DAMASKTHREAD_ROUTE_FWD_H_
+#define DAMASKTHREAD_ROUTE_FWD_H_
+
+namespace damaskthread::route {
+
+struct Part;
+struct Route;
+struct CallerBounds;
+class RouteTable;
+class WeightedSplit;
+
+}  // namespace damaskthread::route
+
+#endif  // DAMASKTHREAD_ROUTE_FWD_H_
--- a/src/damaskthread/settings/settings.cc
+++ b/src/damaskthread/settings/settings.cc
@@ -335,7 +335,11 @@
 
   void report() {
     std::string path;
-    for (const Level& level : levels_) path += (path.empty() ? "" : ".") + level.current.substr(0, 64);
+    for (const Level& level : levels_) {
+      // Appended in two steps: GCC 12 warns falsely of an overlap where a literal is put before a temporary.
+      if (!path.empty()) path += '.';
+      path += level.current.substr(0, 64);
+    }
     errors_.push_back({core::ErrorCode::kInvalidInput, source_ + ": " + path, "the field is given more than once"});
   }
 
