--- a/src/damaskthread/entrance/call_graph.cc
+++ b/src/damaskthread/entrance/call_graph.cc
@@ -4,26 +4,31 @@
 
 namespace damaskthread::entrance {
 
-void CallGraph::saw(std::string_view caller, std::string_view callee, core::TimePoint now) {
+void CallGraph::saw(std::string_view caller, std::string_view callee, bool own, core::TimePoint now) {
   if (caller == callee) return;
-  edges_[std::string(caller)][std::string(callee)] = now;
+  Seen& seen = edges_[std::string(caller)][std::string(callee)];
+  seen.last = now;
+  seen.own = seen.own || own;
 }
 
-std::vector<std::string> CallGraph::callees(std::string_view service, core::TimePoint now) const {
-  std::vector<std::string> result;
-  const auto found = edges_.find(std::string(service));
-  if (found == edges_.end()) return result;
-  for (const auto& [callee, seen] : found->second) {
-    if (now - seen <= expiry_) result.push_back(callee);
+std::vector<std::string> CallGraph::reached(std::string_view kind, core::TimePoint now) const {
+  std::vector<std::string> kinds{std::string(kind)};
+  for (std::size_t i = 0; i < kinds.size(); ++i) {
+    const auto found = edges_.find(kinds[i]);
+    if (found == edges_.end()) continue;
+    for (const auto& [callee, seen] : found->second) {
+      if (now - seen.last > expiry_ || std::find(kinds.begin(), kinds.end(), callee) != kinds.end()) continue;
+      kinds.push_back(callee);
+    }
   }
-  return result;
+  return kinds;
 }
 
-std::vector<std::string> CallGraph::needed(std::string_view service, core::TimePoint now) const {
-  std::vector<std::string> result{std::string(service)};
-  for (std::size_t i = 0; i < result.size(); ++i) {
-    for (std::string& callee : callees(result[i], now)) {
-      if (std::find(result.begin(), result.end(), callee) == result.end()) result.push_back(std::move(callee));
+std::vector<CallGraph::Edge> CallGraph::own_edges(core::TimePoint now) const {
+  std::vector<Edge> result;
+  for (const auto& [caller, callees] : edges_) {
+    for (const auto& [callee, seen] : callees) {
+      if (seen.own && now - seen.last <= expiry_) result.emplace_back(caller, callee);
     }
   }
   return result;
--- a/src/damaskthread/mesh/adapter.h
+++ b/src/damaskthread/mesh/adapter.h
@@ -82,6 +82,10 @@
 
   [[nodiscard]] virtual const HeaderNames& headers() const noexcept = 0;
 
+  /// @brief Id of the attempt whose run made a call, if the id of the call tells.
+  /// @return The id, or an empty view.
+  [[nodiscard]] virtual std::string_view parent_attempt(std::string_view attempt_id) const noexcept = 0;
+
   /// @brief Decodes a call of the server beside the daemon.
   [[nodiscard]] virtual ControlCall control_call(const http::Request& request) const = 0;
   /// @brief Acknowledges a call of the server.
--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -136,7 +136,7 @@
     Fleet::Hooks hooks;
     hooks.status = [this](const std::string& endpoint, bool near, const peer::Status& status) {
       pool.set_server(endpoint, near, {status.service, status.ready, status.load});
-      for (const std::string& callee : status.callees) graph.saw(status.service, callee, now());
+      for (const auto& [caller, callee] : status.calls) graph.saw(caller, callee, false, now());
       offer_configuration(endpoint, status.configuration_version);
     };
     hooks.reachable = [this](const std::string& endpoint, bool reachable) { pool.set_reachable(endpoint, reachable); };
@@ -234,8 +234,8 @@
     if (announcement) {
       status.service = announcement->service;
       status.server_id = announcement->id;
-      status.callees = graph.callees(announcement->service, time);
     }
+    status.calls = graph.own_edges(time);
     status.ready = gate.takes_requests(time);
     status.load = gate.load();
     return status;
--- a/src/damaskthread/mesh/gate_host.cc
+++ b/src/damaskthread/mesh/gate_host.cc
@@ -150,6 +150,7 @@
 void GateHost::start(const RunPointer& run, core::TimePoint now) {
   run->running = true;
   run->started = now;
+  running_attempts_[run->execute.attempt_id] = run;
   if (!run->execute.repeat) budget_.on_first(now);
   send(run, now);
 }
@@ -252,8 +253,17 @@
 
 void GateHost::refuse(const RunPointer& run, core::Cause cause) { end(run, outcome(core::not_run(cause), false)); }
 
+std::optional<GateHost::Parent> GateHost::running_attempt(std::string_view attempt_id) const {
+  const auto found = running_attempts_.find(attempt_id);
+  if (found == running_attempts_.end()) return std::nullopt;
+  const peer::Execute& execute = found->second->execute;
+  return Parent{execute.kind, execute.priority, execute.repeat};
+}
+
 void GateHost::end(const RunPointer& run, peer::Result result) {
   runs_.erase(run->key);
+  const auto running = running_attempts_.find(run->execute.attempt_id);
+  if (running != running_attempts_.end() && running->second == run) running_attempts_.erase(running);
   result.stream = run->key.stream;
   result.load = gate_.load();
   if (!result.answered || result.response.status >= kFirstFailureStatus) {
--- a/src/damaskthread/mesh/gate_host.h
+++ b/src/damaskthread/mesh/gate_host.h
@@ -9,7 +9,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -75,6 +77,15 @@
 
   void tick(core::TimePoint now);
 
+  /// What a call inherits from the request whose run made it.
+  struct Parent {
+    std::string kind;
+    int priority = 0;
+    bool repeat = false;
+  };
+  /// @brief The request that runs here under an attempt id.
+  [[nodiscard]] std::optional<Parent> running_attempt(std::string_view attempt_id) const;
+
   [[nodiscard]] gate::ServerState server_state(core::TimePoint now) const { return life_.state(now); }
   [[nodiscard]] bool takes_requests(core::TimePoint now) const;
   [[nodiscard]] const gate::ServerLife& life() const noexcept { return life_; }
@@ -133,6 +144,7 @@
   bool stopping_ = false;
 
   std::map<RunKey, RunPointer> runs_;
+  std::map<std::string, RunPointer, std::less<>> running_attempts_;
   /// Waiting runs by ticket.
   std::unordered_map<std::uint64_t, RunPointer> tickets_;
   std::uint64_t next_ticket_ = 1;
--- a/src/damaskthread/mesh/ingress.cc
+++ b/src/damaskthread/mesh/ingress.cc
@@ -98,6 +98,8 @@
   exchange->route = route;
   exchange->service = split_.next(*route, random_).service;
   exchange->attempt_id = http::find(headers, names.attempt_id);
+  exchange->priority = route->priority;
+  note_parent(*exchange, time);
   exchange->received = caller->received;
   exchange->deadline = caller->received + deadline_of(http::find(headers, names.time_left_ms));
   exchange->answer_by = exchange->deadline;
@@ -114,15 +116,36 @@
   place(exchange, time);
 }
 
+void Ingress::note_parent(Exchange& exchange, core::TimePoint now) {
+  const std::string_view parent_id = parts_.adapter.parent_attempt(exchange.attempt_id);
+  const auto parent = parent_id.empty() ? std::nullopt : parts_.gate.running_attempt(parent_id);
+  if (!parent) return;
+  exchange.inner = true;
+  exchange.priority = std::min(parent->priority, exchange.priority);
+  exchange.repeat = parent->repeat;
+  parts_.graph.saw(parent->kind, exchange.route->name, true, now);
+}
+
+std::vector<std::string> Ingress::needed_services(const Exchange& exchange, core::TimePoint now) const {
+  std::vector<std::string> services{exchange.service};
+  for (const std::string& kind : parts_.graph.reached(exchange.route->name, now)) {
+    const route::Route* const route = exchange.table->named(kind);
+    if (route == nullptr || route == exchange.route) continue;
+    for (const route::Part& part : route->parts) {
+      if (std::find(services.begin(), services.end(), part.service) == services.end()) services.push_back(part.service);
+    }
+  }
+  return services;
+}
+
 bool Ingress::admitted(const Exchange& exchange, core::TimePoint now) {
   if (exchange.inner) return true;
-  const double share =
-      throttle_.admitted_share(parts_.graph.needed(exchange.service, now), exchange.route->priority, ranks_);
+  const double share = throttle_.admitted_share(needed_services(exchange, now), exchange.priority, ranks_);
   return share >= 1 || std::uniform_real_distribution<double>(0, 1)(random_) < share;
 }
 
-bool Ingress::overloaded(const std::string& service, core::TimePoint now) {
-  const std::vector<std::string> needed = parts_.graph.needed(service, now);
+bool Ingress::overloaded(const Exchange& exchange, core::TimePoint now) const {
+  const std::vector<std::string> needed = needed_services(exchange, now);
   return std::any_of(needed.begin(), needed.end(), [this](const std::string& name) {
     return throttle_.pressure(name) > kOverloadPressure;
   });
@@ -156,9 +179,9 @@
   execute.kind = exchange->route->name;
   execute.caller_service = local_service_;
   execute.idempotent = exchange->route->idempotent;
-  execute.priority = exchange->route->priority;
+  execute.priority = exchange->priority;
   execute.inner = exchange->inner;
-  execute.repeat = exchange->servers_reached > 0;
+  execute.repeat = exchange->repeat || exchange->servers_reached > 0;
   execute.time_left = exchange->answer_by - now;
   execute.patience = exchange->inner ? execute.time_left : scaled(exchange->route->objective, kWaitShare);
   execute.sent_ms = std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count();
@@ -226,7 +249,7 @@
   facts.refusals = exchange->refusals;
   facts.time_left = exchange->answer_by - now;
   facts.typical_run = result.load.run_time;
-  facts.overloaded = overloaded(exchange->service, now);
+  facts.overloaded = overloaded(*exchange, now);
   placement::Need need;
   need.service = exchange->service;
   need.kind = exchange->route->name;
--- a/src/damaskthread/mesh/ingress.h
+++ b/src/damaskthread/mesh/ingress.h
@@ -63,7 +63,12 @@
     const route::Route* route = nullptr;
     std::string service;
     std::string attempt_id;
+    /// A run at the local server made this call.
     bool inner = false;
+    /// Rank of the request from outside that this one belongs to.
+    int priority = 0;
+    /// The run that made this call was itself a repeat.
+    bool repeat = false;
     core::TimePoint received;
     /// When the caller gives up.
     core::TimePoint deadline;
@@ -85,6 +90,8 @@
 
   void refuse_now(const std::shared_ptr<CallerRequest>& caller, int status, std::string_view reason,
                   core::Duration retry_after);
+  /// Finds the running request that made a call, and takes over what the call inherits.
+  void note_parent(Exchange& exchange, core::TimePoint now);
   [[nodiscard]] bool admitted(const Exchange& exchange, core::TimePoint now);
   void place(const ExchangePointer& exchange, core::TimePoint now);
   void hand_over(const ExchangePointer& exchange, const std::string& endpoint, core::TimePoint now);
@@ -97,7 +104,9 @@
   void fail(const ExchangePointer& exchange, int status, core::Cause cause);
   void finish(const ExchangePointer& exchange, http::Response response, std::string_view outcome, core::Cause cause);
   [[nodiscard]] core::Duration return_after(const Exchange& exchange, core::TimePoint now);
-  [[nodiscard]] bool overloaded(const std::string& service, core::TimePoint now);
+  /// Services that a request of a kind needs.
+  [[nodiscard]] std::vector<std::string> needed_services(const Exchange& exchange, core::TimePoint now) const;
+  [[nodiscard]] bool overloaded(const Exchange& exchange, core::TimePoint now) const;
 
   Parts parts_;
   std::string self_;
--- a/src/damaskthread/peer/frame.cc
+++ b/src/damaskthread/peer/frame.cc
@@ -86,8 +86,10 @@
   Json operator()(const Cancel& cancel) const { return Json::array({3, cancel.stream}); }
   Json operator()(const Resume& resume) const { return Json::array({4, resume.stream, resume.idempotent}); }
   Json operator()(const Status& status) const {
+    Json calls = Json::array();
+    for (const auto& [caller, callee] : status.calls) calls.push_back(Json::array({caller, callee}));
     return Json::array({5, status.configuration_version, status.service, status.server_id, status.ready,
-                        encode(status.load), status.callees});
+                        encode(status.load), std::move(calls)});
   }
   Json operator()(const Configuration& configuration) const { return Json::array({6, configuration.version}); }
   Json operator()(const Crash& crash) const { return Json::array({7, crash.report.crash, crash.report.running}); }
@@ -156,7 +158,9 @@
   status.server_id = fields.at(3).get<std::string>();
   status.ready = fields.at(4).get<bool>();
   status.load = decode_load(fields.at(5));
-  status.callees = fields.at(6).get<std::vector<std::string>>();
+  for (const Json& call : fields.at(6)) {
+    status.calls.emplace_back(call.at(0).get<std::string>(), call.at(1).get<std::string>());
+  }
   return status;
 }
 
--- a/src/damaskthread/peer/message.h
+++ b/src/damaskthread/peer/message.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -92,8 +93,8 @@
   std::string server_id;
   bool ready = false;
   gate::Load load;
-  /// Services that its server calls.
-  std::vector<std::string> callees;
+  /// Kinds of requests and kinds of calls that their runs were seen to make at its server.
+  std::vector<std::pair<std::string, std::string>> calls;
 };
 
 /// A configuration as the operator wrote it, for a daemon that has an older one.
--- a/src/damaskthread/placement/server_pool.cc
+++ b/src/damaskthread/placement/server_pool.cc
@@ -29,24 +29,26 @@
   return found == servers_.end() ? nullptr : &*found;
 }
 
+ServerPool::Server& ServerPool::find_or_add(const std::string& endpoint) {
+  if (Server* const server = find(endpoint)) return *server;
+  servers_.emplace_back();
+  servers_.back().endpoint = endpoint;
+  return servers_.back();
+}
+
 void ServerPool::set_server(const std::string& endpoint, bool near, const Report& report) {
-  Server* server = find(endpoint);
-  if (server == nullptr) {
-    servers_.emplace_back();
-    server = &servers_.back();
-    server->endpoint = endpoint;
-  }
-  if (server->report.service != report.service) {
-    server->slowness = Server().slowness;
-    server->failures = 0;
+  Server& server = find_or_add(endpoint);
+  if (server.report.service != report.service) {
+    server.slowness = Server().slowness;
+    server.failures = 0;
   }
-  server->near = near;
-  server->report = report;
-  server->sent_since_report = 0;
+  server.near = near;
+  server.report = report;
+  server.sent_since_report = 0;
 }
 
 void ServerPool::set_reachable(const std::string& endpoint, bool reachable) {
-  if (Server* server = find(endpoint)) server->reachable = reachable;
+  find_or_add(endpoint).reachable = reachable;
 }
 
 void ServerPool::remove(const std::string& endpoint) {
--- a/src/damaskthread/placement/server_pool.h
+++ b/src/damaskthread/placement/server_pool.h
@@ -108,6 +108,7 @@
   };
 
   [[nodiscard]] Server* find(const std::string& endpoint);
+  [[nodiscard]] Server& find_or_add(const std::string& endpoint);
   [[nodiscard]] double cost(const Server& server, const Need& need, double mean_run_seconds) const;
 
   PoolOptions options_;
--- a/src/damaskthread/route/route_table.cc
+++ b/src/damaskthread/route/route_table.cc
@@ -22,6 +22,7 @@
   index_.reserve(routes_.size());
   for (std::size_t i = 0; i < routes_.size(); ++i) {
     index_.emplace(normalized_host(routes_[i].host) + routes_[i].prefix, i);
+    names_.emplace(routes_[i].name, i);
   }
 }
 
@@ -39,6 +40,11 @@
   return nullptr;
 }
 
+const Route* RouteTable::named(const std::string& name) const {
+  const auto found = names_.find(name);
+  return found == names_.end() ? nullptr : &routes_[found->second];
+}
+
 std::vector<std::string> RouteTable::service_names() const {
   std::vector<std::string> names;
   names.reserve(services_.size());
--- a/src/damaskthread/route/route_table.h
+++ b/src/damaskthread/route/route_table.h
@@ -74,6 +74,8 @@
   /// @return The route, or null if none matches.
   [[nodiscard]] const Route* find(std::string_view host, std::string_view target) const;
 
+  /// @return The route of a name, or null.
+  [[nodiscard]] const Route* named(const std::string& name) const;
   /// @return Facts of a service, or null if it is not declared.
   [[nodiscard]] const ServiceFacts* service(const std::string& name) const;
 
@@ -91,6 +93,7 @@
   CallerBounds bounds_;
   /// Keyed by host and prefix, joined without a separator: every prefix begins with a slash.
   std::unordered_map<std::string, std::size_t> index_;
+  std::unordered_map<std::string, std::size_t> names_;
 };
 
 }  // namespace damaskthread::route
