Exit at once after a planned stop, and stop accepting within the grace

Change: the log is written out and the process exits; from 3.2 s after SIGTERM no new connection is taken.

--- a/app/damaskthread_mesh/main.cc
+++ b/app/damaskthread_mesh/main.cc
@@ -53,6 +53,7 @@
   log4cplus::helpers::Properties properties;
   properties.setProperty("log4cplus.rootLogger", "INFO, STDOUT");
   properties.setProperty("log4cplus.appender.STDOUT", "log4cplus::ConsoleAppender");
+  properties.setProperty("log4cplus.appender.STDOUT.ImmediateFlush", "true");
   properties.setProperty("log4cplus.appender.STDOUT.layout", "log4cplus::PatternLayout");
   properties.setProperty("log4cplus.appender.STDOUT.layout.ConversionPattern", "%m%n");
   log4cplus::PropertyConfigurator(properties).configure();
@@ -64,7 +65,11 @@
   set_up_log();
   const damaskthread::platform::StoreAdapter adapter;
   damaskthread::mesh::Daemon daemon(settings, path, adapter);
-  return daemon.run() == damaskthread::mesh::DaemonEnd::kFinished ? kExitOk : kExitCutOff;
+  const int code = daemon.run() == damaskthread::mesh::DaemonEnd::kFinished ? kExitOk : kExitCutOff;
+  // Nothing is left that has to be released. Taking the log library down can wait for threads of its own for seconds,
+  // which a VM that is to start its daemon again does not have.
+  std::cout.flush();
+  std::_Exit(code);
 }
 
 std::string settings_path() {
--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -47,6 +47,8 @@
 constexpr core::Duration kConfigurationLag = milliseconds{700};
 // A stopping daemon still gets new requests until its callers have seen twice that it is not ready.
 constexpr core::Duration kStopNotice = milliseconds{2300};
+// A stopping daemon takes new requests for this long at the most.
+constexpr core::Duration kLastAccept = milliseconds{3200};
 // Left of the grace when requests that are still under way are given up.
 constexpr core::Duration kGraceReserve = milliseconds{400};
 constexpr std::uint16_t kMetricsPort = 9464;
@@ -414,6 +416,8 @@
 
   void check_stopped(core::TimePoint time) {
     const core::Duration passed = time - stop_begun;
+    // Callers that have nowhere else to go keep coming; the requests already taken need the rest of the grace.
+    if (passed > kLastAccept) calls.stop_accepting();
     const bool idle = ingress.active() == 0 && gate.active() == 0 && calls.busy_sessions() == 0;
     if (passed < settings.promises.grace - kGraceReserve && (passed < kStopNotice || !idle)) return;
     end = idle ? DaemonEnd::kFinished : DaemonEnd::kCutOff;
@@ -464,6 +468,7 @@
 
 DaemonEnd Daemon::run() {
   impl_->io.run();
+  impl_->log.finish();
   return impl_->end;
 }
 
--- a/src/damaskthread/mesh/daemon.h
+++ b/src/damaskthread/mesh/daemon.h
@@ -27,7 +27,7 @@
   Daemon(const MeshSettings& settings, std::filesystem::path settings_path, const Adapter& adapter);
   ~Daemon();
 
-  /// @brief Serves until SIGTERM or SIGINT, then finishes what is under way.
+  /// @brief Serves until SIGTERM or SIGINT, then finishes what is under way and writes the log out.
   [[nodiscard]] DaemonEnd run();
 
  private:
--- a/src/damaskthread/mesh/event_log.cc
+++ b/src/damaskthread/mesh/event_log.cc
@@ -23,7 +23,10 @@
 EventLog::EventLog(std::string name, const Options& options)
     : name_(std::move(name)), options_(options), writer_([this] { write(); }) {}
 
-EventLog::~EventLog() {
+EventLog::~EventLog() { finish(); }
+
+void EventLog::finish() {
+  if (!writer_.joinable()) return;
   {
     const std::lock_guard lock(mutex_);
     stopping_ = true;
--- a/src/damaskthread/mesh/event_log.h
+++ b/src/damaskthread/mesh/event_log.h
@@ -46,6 +46,9 @@
   EventLog(std::string name, const Options& options);
   ~EventLog();
 
+  /// @brief Writes all lines out; none is taken afterwards.
+  void finish();
+
   /// @brief Adds a line.
   void line(LineClass line_class, std::string_view event, std::initializer_list<LogField> fields);
 
--- a/src/damaskthread/mesh/http_listener.cc
+++ b/src/damaskthread/mesh/http_listener.cc
@@ -170,6 +170,15 @@
   for (const auto& session : sessions) session->drop();
 }
 
+void HttpListener::stop_accepting() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  const std::vector<std::shared_ptr<Session>> sessions(sessions_.begin(), sessions_.end());
+  for (const auto& session : sessions) {
+    if (session->idle()) session->drop();
+  }
+}
+
 std::size_t HttpListener::busy_sessions() const {
   return static_cast<std::size_t>(
       std::count_if(sessions_.begin(), sessions_.end(), [](const auto& session) { return !session->idle(); }));
--- a/src/damaskthread/mesh/http_listener.h
+++ b/src/damaskthread/mesh/http_listener.h
@@ -87,6 +87,8 @@
   void set_bounds(const route::CallerBounds& bounds) { bounds_ = bounds; }
   /// @brief From now on every answer asks its caller to use another connection.
   void drain() noexcept { draining_ = true; }
+  /// @brief Takes no new connections and closes idle ones; requests under way are still answered.
+  void stop_accepting();
   /// @brief Closes what has been idle for too long; to be called several times a second.
   void sweep(core::TimePoint now);
   /// @brief Stops accepting and closes all connections.
