Apply the load that comes with each answer; estimate the offered load at the entrance

Cause: reports of load reached the pool only every 400 ms while each placement counted as one more request, so that one server had 108 requests waiting while another had 23 free slots; the entrance steered by integrating an old load and swung between 30% and 130% of the slots. Change: answers carry the load into the pool; the throttle divides the load by the share that was let in and admits what fits, rank by rank.

--- a/src/damaskthread/entrance/throttle.cc
+++ b/src/damaskthread/entrance/throttle.cc
@@ -2,34 +2,83 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace damaskthread::entrance {
+namespace {
+
+// Weight of the newest sample in a mean over `span`.
+double weight_of(core::Duration elapsed, core::Duration span) {
+  return 1 - std::exp(-std::chrono::duration<double>(elapsed) / std::chrono::duration<double>(span));
+}
+
+// Offered requests are averaged over several times the share, since a rank may be rare.
+constexpr int kOfferedSpans = 4;
+// Fewer new requests in an interval say nothing about the share let in.
+constexpr double kLeastOffered = 1;
+
+}  // namespace
 
 void Throttle::observe(const std::string& service, const gate::Load& total, core::Duration elapsed) {
-  double& pressure = pressure_[service];
+  State& state = services_[service];
+  Count sum;
+  for (const auto& [rank, count] : state.counts) {
+    sum.offered += count.offered;
+    sum.admitted += count.admitted;
+  }
+  const double offered_weight = weight_of(elapsed, kOfferedSpans * options_.share_time);
+  for (auto& [rank, mean] : state.offered) mean -= offered_weight * mean;
+  for (const auto& [rank, count] : state.counts) state.offered[rank] += offered_weight * count.offered;
+  state.counts.clear();
+  const double let_in = sum.offered >= kLeastOffered ? sum.admitted / sum.offered : state.share;
+  state.recent_share += weight_of(elapsed, options_.share_time) * (let_in - state.recent_share);
   if (total.limit <= 0) return;
-  const double load = static_cast<double>(total.running + total.queued) / total.limit;
-  const double excess = std::clamp(load - options_.target_load, -options_.max_excess, options_.max_excess);
-  const double seconds = std::chrono::duration<double>(elapsed).count();
-  pressure += (excess > 0 ? options_.rise : options_.fall) * excess * seconds;
-  pressure = std::clamp(pressure, 0.0, 1.0);
+
+  const double load = std::min(options_.max_load, static_cast<double>(total.running + total.queued) / total.limit);
+  state.load += weight_of(elapsed, options_.load_time) * (load - state.load);
+  const double demand = state.load / std::max(options_.least, state.recent_share);
+  const double carried = demand <= options_.target_load ? 1 : options_.target_load / demand;
+  const double highest = state.share + options_.rise * std::chrono::duration<double>(elapsed).count();
+  state.share = std::clamp(std::min(carried, highest), options_.least, 1.0);
+}
+
+void Throttle::offered(std::span<const std::string> needed, int rank, bool admitted) {
+  for (const std::string& service : needed) {
+    Count& count = services_[service].counts[rank];
+    count.offered += 1;
+    if (admitted) count.admitted += 1;
+  }
 }
 
 double Throttle::pressure(const std::string& service) const {
-  const auto found = pressure_.find(service);
-  return found == pressure_.end() ? 0 : found->second;
+  const auto found = services_.find(service);
+  return found == services_.end() ? 0 : 1 - found->second.share;
+}
+
+double Throttle::share_of_rank(const State& state, int rank) const {
+  double total = 0;
+  for (const auto& [other, mean] : state.offered) total += mean;
+  if (state.share >= 1 || total <= 0) return state.share;
+  const double floor = std::min(options_.floor, state.share);
+  // What is left for a rank and those below it, after the more important ones took theirs.
+  double left = state.share * total;
+  double below = total;
+  for (const auto& [other, mean] : state.offered) {
+    below -= mean;
+    const double share = mean <= 0 ? 1 : std::clamp((left - floor * below) / mean, floor, 1.0);
+    if (other == rank) return share;
+    left -= share * mean;
+  }
+  return state.share;
 }
 
-double Throttle::admitted_share(std::span<const std::string> needed, int priority, std::span<const int> ranks) const {
-  double highest = 0;
-  for (const std::string& service : needed) highest = std::max(highest, pressure(service));
-  if (highest <= 0) return 1;
-  // The pressure range is divided evenly among the ranks; the least important one gives way in the first part.
-  const auto more_important = std::count_if(ranks.begin(), ranks.end(), [priority](int rank) { return rank < priority; });
-  const double parts = static_cast<double>(std::max<std::size_t>(1, ranks.size()));
-  const double before = parts - 1 - static_cast<double>(more_important);
-  const double progress = std::clamp(highest * parts - before, 0.0, 1.0);
-  return 1 - (1 - options_.floor) * progress;
+double Throttle::admitted_share(std::span<const std::string> needed, int rank) const {
+  double least = 1;
+  for (const std::string& service : needed) {
+    const auto found = services_.find(service);
+    if (found != services_.end()) least = std::min(least, share_of_rank(found->second, rank));
+  }
+  return least;
 }
 
 }  // namespace damaskthread::entrance
--- a/src/damaskthread/entrance/throttle.h
+++ b/src/damaskthread/entrance/throttle.h
@@ -4,11 +4,10 @@
 /// @file
 /// @brief Turns new requests away where the services that they need cannot serve them all.
 
+#include <map>
 #include <span>
 #include <string>
-#include <string_view>
 #include <unordered_map>
-#include <vector>
 
 #include "damaskthread/core/types.h"
 #include "damaskthread/gate/server_gate.h"
@@ -16,25 +15,29 @@
 namespace damaskthread::entrance {
 
 struct ThrottleOptions {
-  /// Load (running and waiting requests for each slot) that the throttle steers towards.
+  /// Load (running and waiting requests for each slot) that is steered towards.
   double target_load = 0.92;
-  /// Growth of the pressure in a second at a load of one above the target.
-  double rise = 1.2;
-  /// Fall of the pressure in a second at a load of one below the target.
-  double fall = 0.8;
-  /// Largest excess of load that is acted on, so that one deep queue does not shut the entrance.
-  double max_excess = 0.5;
-  /// Share that is let in of a rank at the least, so that none starves.
+  /// Largest load that is believed, so that one deep queue does not shut the entrance.
+  double max_load = 1.6;
+  /// Time over which the load is averaged.
+  core::Duration load_time = std::chrono::milliseconds{250};
+  /// Time over which the admitted share is averaged: about as long as a request takes to reach the service that limits
+  /// it, so that load and share speak of the same requests.
+  core::Duration share_time = std::chrono::milliseconds{600};
+  /// Growth of the admitted share in a second.
+  double rise = 0.5;
+  /// Share that is let in of a rank as long as any rank gets more, so that none starves.
   double floor = 0.3;
+  /// Smallest share that is let in altogether.
+  double least = 0.05;
 };
 
-/// @brief Holds a pressure for each service that rises while its servers are overloaded and falls otherwise. A new
-/// request is turned away by the highest pressure among the services that it needs; the least important ranks give way
-/// first, down to a floor.
+/// @brief Estimates for each service the load that all offered requests would cause, from the load that the admitted
+/// share of them causes, and admits the share that the service can carry; the most important ranks first.
 ///
 /// Load patterns: a surge that a service deep in the tree cannot carry (work further up is not begun for requests that
 /// would fail below), clients that repeat at once (the share let in follows the load, whatever is offered), a slow
-/// return to normal (the pressure falls step by step, so that those turned away do not return as a wave).
+/// return to normal (the share grows step by step, so that those turned away do not return as a wave).
 class Throttle {
  public:
   explicit Throttle(const ThrottleOptions& options = {}) noexcept : options_(options) {}
@@ -47,17 +50,36 @@
 
   /// @brief Share of the new requests of a rank that is let in.
   /// @param needed Services that the request needs.
-  /// @param priority Its rank.
-  /// @param ranks All ranks in use at the entrance, most important first.
-  [[nodiscard]] double admitted_share(std::span<const std::string> needed, int priority,
-                                      std::span<const int> ranks) const;
+  /// @param rank Its rank, 0 is the most important.
+  [[nodiscard]] double admitted_share(std::span<const std::string> needed, int rank) const;
 
-  /// @brief Pressure of a service, 0 to 1.
+  /// @brief Counts a new request.
+  void offered(std::span<const std::string> needed, int rank, bool admitted);
+
+  /// @brief Share of the requests that need a service which is turned away for its sake, 0 to 1.
   [[nodiscard]] double pressure(const std::string& service) const;
 
  private:
+  struct Count {
+    double offered = 0;
+    double admitted = 0;
+  };
+  struct State {
+    double load = 0;
+    /// Share that was let in of late.
+    double recent_share = 1;
+    /// Share that is let in now.
+    double share = 1;
+    /// New requests in the present interval, by rank.
+    std::map<int, Count> counts;
+    /// Mean of the offered requests of an interval, by rank.
+    std::map<int, double> offered;
+  };
+
+  [[nodiscard]] double share_of_rank(const State& state, int rank) const;
+
   ThrottleOptions options_;
-  std::unordered_map<std::string, double> pressure_;
+  std::unordered_map<std::string, State> services_;
 };
 
 }  // namespace damaskthread::entrance
--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -42,6 +42,7 @@
 constexpr milliseconds kTickInterval{25};
 constexpr core::Duration kSweepInterval = milliseconds{250};
 constexpr core::Duration kStatusInterval = milliseconds{400};
+constexpr core::Duration kLoadInterval = seconds{2};
 constexpr core::Duration kSettingsInterval = seconds{1};
 // A daemon that lags behind in its configuration is sent the newest one after this time: it usually reads it itself.
 constexpr core::Duration kConfigurationLag = milliseconds{700};
@@ -407,6 +408,10 @@
       status_due = time + kStatusInterval;
       peers.broadcast(status());
     }
+    if (time >= load_due) {
+      load_due = time + kLoadInterval;
+      log_load();
+    }
     if (time >= settings_due) {
       settings_due = time + kSettingsInterval;
       check_settings();
@@ -414,6 +419,19 @@
     if (stopping) check_stopped(time);
   }
 
+  // The state behind the decisions on single requests.
+  void log_load() {
+    const gate::Load load = gate.load();
+    const std::string pressures = ingress.describe_pressure();
+    log.line(LineClass::kBelief, "load",
+             {{"limit", load.limit},
+              {"running", load.running},
+              {"queued", load.queued},
+              {"run_ms", std::chrono::duration<double, std::milli>(load.run_time).count()},
+              {"requests", static_cast<std::int64_t>(ingress.active())},
+              {"pressure", pressures}});
+  }
+
   void check_stopped(core::TimePoint time) {
     const core::Duration passed = time - stop_begun;
     // Callers that have nowhere else to go keep coming; the requests already taken need the rest of the grace.
@@ -440,6 +458,7 @@
   core::TimePoint sweep_due;
   core::TimePoint status_due;
   core::TimePoint settings_due;
+  core::TimePoint load_due;
   DaemonEnd end = DaemonEnd::kFinished;
 
   asio::io_context io{1};
--- a/src/damaskthread/mesh/ingress.cc
+++ b/src/damaskthread/mesh/ingress.cc
@@ -64,10 +64,6 @@
 void Ingress::set_table(std::shared_ptr<const route::RouteTable> table) {
   table_ = std::move(table);
   split_.reset();
-  ranks_.clear();
-  for (const route::Route& route : table_->routes()) ranks_.push_back(route.priority);
-  std::sort(ranks_.begin(), ranks_.end());
-  ranks_.erase(std::unique(ranks_.begin(), ranks_.end()), ranks_.end());
 }
 
 void Ingress::refuse_now(const std::shared_ptr<CallerRequest>& caller, int status, std::string_view reason,
@@ -140,8 +136,25 @@
 
 bool Ingress::admitted(const Exchange& exchange, core::TimePoint now) {
   if (exchange.inner) return true;
-  const double share = throttle_.admitted_share(needed_services(exchange, now), exchange.priority, ranks_);
-  return share >= 1 || std::uniform_real_distribution<double>(0, 1)(random_) < share;
+  const std::vector<std::string> needed = needed_services(exchange, now);
+  const double share = throttle_.admitted_share(needed, exchange.priority);
+  const bool admitted = share >= 1 || std::uniform_real_distribution<double>(0, 1)(random_) < share;
+  throttle_.offered(needed, exchange.priority, admitted);
+  return admitted;
+}
+
+std::string Ingress::describe_pressure() const {
+  std::string text;
+  if (table_ == nullptr) return text;
+  for (const std::string& service : table_->service_names()) {
+    const gate::Load load = parts_.pool.total(service);
+    if (load.limit == 0) continue;
+    std::array<char, 64> numbers{};
+    std::snprintf(numbers.data(), numbers.size(), " %d+%d/%d %.2f", load.running, load.queued, load.limit,
+                  throttle_.pressure(service));
+    text.append(text.empty() ? "" : ", ").append(service).append(numbers.data());
+  }
+  return text;
 }
 
 bool Ingress::overloaded(const Exchange& exchange, core::TimePoint now) const {
@@ -226,6 +239,7 @@
 void Ingress::on_result(const ExchangePointer& exchange, std::uint64_t stream, const peer::Result& result) {
   if (!exchange->placed || exchange->stream != stream) return;
   exchange->placed = false;
+  parts_.pool.heard_load(exchange->endpoint, result.load);
   if (result.reached_server) ++exchange->servers_reached;
   const bool failed = result.answered ? result.response.status >= kServerFailure : result.reached_server;
   if (result.reached_server) {
--- a/src/damaskthread/mesh/ingress.h
+++ b/src/damaskthread/mesh/ingress.h
@@ -51,6 +51,9 @@
   void handle(const std::shared_ptr<CallerRequest>& caller);
   void tick(core::TimePoint now);
 
+  /// @brief Load and pressure of each service as this daemon sees them, for the log.
+  [[nodiscard]] std::string describe_pressure() const;
+
   [[nodiscard]] std::size_t active() const noexcept { return exchanges_.size(); }
   [[nodiscard]] const std::shared_ptr<const route::RouteTable>& table() const noexcept { return table_; }
 
@@ -92,6 +95,7 @@
                   core::Duration retry_after);
   /// Finds the running request that made a call, and takes over what the call inherits.
   void note_parent(Exchange& exchange, core::TimePoint now);
+  /// Decides on a new request and counts it.
   [[nodiscard]] bool admitted(const Exchange& exchange, core::TimePoint now);
   void place(const ExchangePointer& exchange, core::TimePoint now);
   void hand_over(const ExchangePointer& exchange, const std::string& endpoint, core::TimePoint now);
@@ -115,7 +119,6 @@
   std::shared_ptr<const route::RouteTable> table_;
   route::WeightedSplit split_;
   entrance::Throttle throttle_;
-  std::vector<int> ranks_;
   std::string local_service_;
   std::map<std::uint64_t, ExchangePointer> exchanges_;
   std::uint64_t next_number_ = 1;
--- a/src/damaskthread/placement/server_pool.cc
+++ b/src/damaskthread/placement/server_pool.cc
@@ -94,6 +94,13 @@
   return best->endpoint;
 }
 
+void ServerPool::heard_load(const std::string& endpoint, const gate::Load& load) {
+  Server* const server = find(endpoint);
+  if (server == nullptr || load.limit <= 0) return;
+  server->report.load = load;
+  server->sent_since_report = 0;
+}
+
 void ServerPool::sent(const std::string& endpoint) {
   if (Server* server = find(endpoint)) ++server->sent_since_report;
 }
--- a/src/damaskthread/placement/server_pool.h
+++ b/src/damaskthread/placement/server_pool.h
@@ -74,6 +74,8 @@
   /// @return Its address, or nothing if no server of the service can be reached.
   [[nodiscard]] std::optional<std::string> choose(const Need& need, core::TimePoint now, core::Random& random) const;
 
+  /// @brief Takes in the load that came with an answer; newer than the last report.
+  void heard_load(const std::string& endpoint, const gate::Load& load);
   /// @brief Notes a request on its way to a server.
   void sent(const std::string& endpoint);
   /// @brief Notes how a request ended at a server.
