Spend scarce repeats on the most important requests

Change: a request that a server turned away may be sent to the same two servers again; the budget of repeats belongs to the highest rank first.

--- a/src/damaskthread/mesh/gate_host.cc
+++ b/src/damaskthread/mesh/gate_host.cc
@@ -124,7 +124,7 @@
   if (state != gate::ServerState::kReady || life_.announcement()->service != run->execute.service) {
     return refuse(run, core::Cause::kNoServer);
   }
-  if (run->execute.repeat && !budget_.allow(now, hooks_.servers(run->execute.service))) {
+  if (run->execute.repeat && !budget_.allow(now, hooks_.servers(run->execute.service), run->execute.priority == 0)) {
     return refuse(run, core::Cause::kRetryBound);
   }
   gate::Arrival arrival;
--- a/src/damaskthread/mesh/ingress.cc
+++ b/src/damaskthread/mesh/ingress.cc
@@ -164,13 +164,19 @@
   });
 }
 
-void Ingress::place(const ExchangePointer& exchange, core::TimePoint now) {
+std::optional<std::string> Ingress::choose(const Exchange& exchange, core::TimePoint now) {
   placement::Need need;
-  need.service = exchange->service;
-  need.kind = exchange->route->name;
-  need.objective = exchange->route->objective;
-  need.tried = exchange->tried;
-  const auto chosen = parts_.pool.choose(need, now, random_);
+  need.service = exchange.service;
+  need.kind = exchange.route->name;
+  need.objective = exchange.route->objective;
+  need.tried = exchange.tried;
+  const bool all_used = static_cast<int>(exchange.reached.size()) >= std::max(1, exchange.route->max_servers);
+  if (all_used) need.only = exchange.reached;
+  return parts_.pool.choose(need, now, random_);
+}
+
+void Ingress::place(const ExchangePointer& exchange, core::TimePoint now) {
+  const auto chosen = choose(*exchange, now);
   if (chosen) {
     hand_over(exchange, *chosen, now);
     return;
@@ -194,7 +200,7 @@
   execute.idempotent = exchange->route->idempotent;
   execute.priority = exchange->priority;
   execute.inner = exchange->inner;
-  execute.repeat = exchange->repeat || exchange->servers_reached > 0;
+  execute.repeat = exchange->repeat || exchange->sends > 0;
   execute.time_left = exchange->answer_by - now;
   execute.patience = exchange->inner ? execute.time_left : scaled(exchange->route->objective, kWaitShare);
   execute.sent_ms = std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count();
@@ -203,7 +209,6 @@
   exchange->stream = execute.stream;
   exchange->placed = true;
   exchange->placed_at = now;
-  exchange->tried.push_back(endpoint);
   parts_.pool.sent(endpoint);
   const std::uint64_t stream = execute.stream;
   const auto ended = [this, exchange, stream](const peer::Result& result) { on_result(exchange, stream, result); };
@@ -240,11 +245,17 @@
   if (!exchange->placed || exchange->stream != stream) return;
   exchange->placed = false;
   parts_.pool.heard_load(exchange->endpoint, result.load);
-  if (result.reached_server) ++exchange->servers_reached;
   const bool failed = result.answered ? result.response.status >= kServerFailure : result.reached_server;
   if (result.reached_server) {
+    ++exchange->sends;
+    if (std::find(exchange->reached.begin(), exchange->reached.end(), exchange->endpoint) == exchange->reached.end()) {
+      exchange->reached.push_back(exchange->endpoint);
+    }
+    // A server that turned the request away may take it the next time; one that failed it is not asked again.
+    if (result.verdict.execution != core::Execution::kNotRun) exchange->tried.push_back(exchange->endpoint);
     parts_.pool.finished(exchange->endpoint, exchange->route->name, result.run_time, failed);
   } else {
+    exchange->tried.push_back(exchange->endpoint);
     parts_.pool.refused(exchange->endpoint, now());
     ++exchange->refusals;
   }
@@ -258,17 +269,14 @@
   facts.verdict = result.verdict;
   facts.answered = result.answered;
   facts.status = result.response.status;
-  facts.servers_reached = exchange->servers_reached;
+  facts.servers_reached = static_cast<int>(exchange->reached.size());
+  facts.sends = exchange->sends;
   facts.max_servers = std::max(1, exchange->route->max_servers);
   facts.refusals = exchange->refusals;
   facts.time_left = exchange->answer_by - now;
   facts.typical_run = result.load.run_time;
   facts.overloaded = overloaded(*exchange, now);
-  placement::Need need;
-  need.service = exchange->service;
-  need.kind = exchange->route->name;
-  need.tried = exchange->tried;
-  facts.others = parts_.pool.choose(need, now, random_).has_value();
+  facts.others = choose(*exchange, now).has_value();
   exchange->last_cause = result.verdict.cause;
   if (!result.answered && result.verdict.execution != core::Execution::kNotRun) exchange->may_have_run = true;
   switch (retry::next_step(facts)) {
@@ -330,7 +338,8 @@
                    {"cause", to_string(cause)},
                    {"inner", exchange->inner},
                    {"at", exchange->endpoint},
-                   {"servers", exchange->servers_reached},
+                   {"servers", static_cast<std::int64_t>(exchange->reached.size())},
+                   {"sends", exchange->sends},
                    {"refusals", exchange->refusals},
                    {"took_ms", ms(time - exchange->received)},
                    {"left_ms", ms(exchange->deadline - time)},
--- a/src/damaskthread/mesh/ingress.h
+++ b/src/damaskthread/mesh/ingress.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -77,8 +78,11 @@
     core::TimePoint deadline;
     /// When the caller has to have its answer.
     core::TimePoint answer_by;
+    /// Daemons that are not asked again.
     std::vector<std::string> tried;
-    int servers_reached = 0;
+    /// Daemons whose servers were handed the request.
+    std::vector<std::string> reached;
+    int sends = 0;
     int refusals = 0;
     /// Where the request is now: the daemon and the number of this placement.
     std::string endpoint;
@@ -97,6 +101,7 @@
   void note_parent(Exchange& exchange, core::TimePoint now);
   /// Decides on a new request and counts it.
   [[nodiscard]] bool admitted(const Exchange& exchange, core::TimePoint now);
+  [[nodiscard]] std::optional<std::string> choose(const Exchange& exchange, core::TimePoint now);
   void place(const ExchangePointer& exchange, core::TimePoint now);
   void hand_over(const ExchangePointer& exchange, const std::string& endpoint, core::TimePoint now);
   void on_result(const ExchangePointer& exchange, std::uint64_t stream, const peer::Result& result);
--- a/src/damaskthread/placement/server_pool.cc
+++ b/src/damaskthread/placement/server_pool.cc
@@ -84,6 +84,7 @@
   for (const Server& server : servers_) {
     if (server.report.service != need.service || !server.reachable || !server.report.ready) continue;
     if (contains(need.tried, server.endpoint)) continue;
+    if (!need.only.empty() && !contains(need.only, server.endpoint)) continue;
     double candidate = cost(server, need, mean_run_seconds) * jitter(random);
     if (server.passed_over_until > now) candidate += options_.full_cost + options_.queue_cost;
     if (candidate >= best_cost) continue;
--- a/src/damaskthread/placement/server_pool.h
+++ b/src/damaskthread/placement/server_pool.h
@@ -33,6 +33,8 @@
   core::Duration objective{0};
   /// Daemons that were tried already.
   std::span<const std::string> tried;
+  /// If not empty, the only daemons that may be chosen.
+  std::span<const std::string> only;
 };
 
 struct PoolOptions {
--- a/src/damaskthread/retry/next_step.cc
+++ b/src/damaskthread/retry/next_step.cc
@@ -5,10 +5,12 @@
 
 // Refusals by daemons after which a request is turned away: the others are as full or leave as well.
 constexpr int kMaxRefusals = 4;
+// Sends after which a request that servers keep turning away is given up.
+constexpr int kMaxSends = 6;
 constexpr int kServerFailure = 500;
 
 bool worth_another_run(const PlacementFacts& facts) noexcept {
-  return facts.servers_reached < facts.max_servers && facts.others && !facts.overloaded &&
+  return facts.sends < facts.max_servers && facts.others && !facts.overloaded &&
          facts.time_left > facts.typical_run;
 }
 
@@ -46,8 +48,7 @@
       break;
   }
   const bool hopeful = facts.others && facts.refusals < kMaxRefusals && facts.time_left > facts.typical_run;
-  const bool reached = facts.servers_reached >= facts.max_servers;
-  return hopeful && !reached ? NextStep::kPlaceAgain : NextStep::kRefuse;
+  return hopeful && facts.sends < kMaxSends ? NextStep::kPlaceAgain : NextStep::kRefuse;
 }
 
 }  // namespace damaskthread::retry
--- a/src/damaskthread/retry/next_step.h
+++ b/src/damaskthread/retry/next_step.h
@@ -19,8 +19,10 @@
   /// The server answered; `status` is its answer.
   bool answered = false;
   int status = 0;
-  /// Servers that the request was handed to, including this one.
+  /// Different servers that the request was handed to, including this one.
   int servers_reached = 0;
+  /// Times that it was handed to a server.
+  int sends = 0;
   int max_servers = 1;
   /// Daemons that refused it before a server saw it.
   int refusals = 0;
@@ -30,7 +32,7 @@
   core::Duration typical_run{0};
   /// The services that the request needs are overloaded: another run would take a slot from a first one.
   bool overloaded = false;
-  /// Another server of the service can be reached.
+  /// Another server that the request may be sent to can be reached.
   bool others = false;
 };
 
@@ -47,7 +49,8 @@
 ///
 /// Load patterns: a server that leaves, is full or gone (the request moves on at no cost to the servers), a crash or a
 /// lost answer (an idempotent request runs again while that is in time), a server that fails requests although its
-/// health looks good, an overload (nothing runs twice; the caller is told at once).
+/// health looks good, servers that turn part of their requests away at random (the request is sent once more within the
+/// servers that it may use, as long as the budget of repeats allows), an overload (nothing runs twice; the caller is told at once).
 [[nodiscard]] NextStep next_step(const PlacementFacts& facts) noexcept;
 
 }  // namespace damaskthread::retry
--- a/src/damaskthread/retry/repeat_budget.cc
+++ b/src/damaskthread/retry/repeat_budget.cc
@@ -26,12 +26,17 @@
   steps_[present_].firsts += 1;
 }
 
-void RepeatBudget::on_repeat(core::TimePoint now, double weight) noexcept {
+void RepeatBudget::on_repeat(core::TimePoint now) noexcept {
   advance(now);
-  steps_[present_].repeats += weight;
+  steps_[present_].repeats += 1;
 }
 
-bool RepeatBudget::allow(core::TimePoint now, int servers, double weight) noexcept {
+double RepeatBudget::important_projected() const noexcept {
+  const Step& last = steps_[(present_ + steps_.size() - 1) % steps_.size()];
+  return static_cast<double>(kSteps) * std::max(last.important_wanted, steps_[present_].important_wanted);
+}
+
+bool RepeatBudget::allow(core::TimePoint now, int servers, bool important) noexcept {
   advance(now);
   double firsts = 0;
   double repeats = 0;
@@ -41,8 +46,11 @@
   }
   // An earlier life of this daemon may have used the slack of the present window.
   const double slack = now - begun_ < options_.window ? 0 : options_.slack / std::max(1, servers);
-  if (repeats + weight > options_.usable_share * (options_.ratio * firsts + slack)) return false;
-  steps_[present_].repeats += weight;
+  if (important) steps_[present_].important_wanted += 1;
+  const double usable = options_.usable_share * (options_.ratio * firsts + slack);
+  const double for_ordinary = std::min(options_.ordinary_share * usable, usable - important_projected());
+  if (repeats + 1 > (important ? usable : for_ordinary)) return false;
+  steps_[present_].repeats += 1;
   return true;
 }
 
