Keep the important ranks steady while the entrance throttles

Change: the mean of the shares is counted instead of the draws; ranks above the lowest follow a steadier share; the floor of a rank is a part of the share of all; the target load is 1.05 with slower means.

--- a/src/damaskthread/entrance/throttle.cc
+++ b/src/damaskthread/entrance/throttle.cc
@@ -14,8 +14,6 @@
 
 // Offered requests are averaged over several times the share, since a rank may be rare.
 constexpr int kOfferedSpans = 4;
-// Fewer new requests in an interval say nothing about the share let in.
-constexpr double kLeastOffered = 1;
 
 }  // namespace
 
@@ -30,7 +28,7 @@
   for (auto& [rank, mean] : state.offered) mean -= offered_weight * mean;
   for (const auto& [rank, count] : state.counts) state.offered[rank] += offered_weight * count.offered;
   state.counts.clear();
-  const double let_in = sum.offered >= kLeastOffered ? sum.admitted / sum.offered : state.share;
+  const double let_in = sum.offered > 0 ? sum.admitted / sum.offered : state.share;
   state.recent_share += weight_of(elapsed, options_.share_time) * (let_in - state.recent_share);
   if (total.limit <= 0) return;
 
@@ -40,13 +38,14 @@
   const double carried = demand <= options_.target_load ? 1 : options_.target_load / demand;
   const double highest = state.share + options_.rise * std::chrono::duration<double>(elapsed).count();
   state.share = std::clamp(std::min(carried, highest), options_.least, 1.0);
+  state.steady_share += weight_of(elapsed, options_.steady_time) * (state.share - state.steady_share);
 }
 
-void Throttle::offered(std::span<const std::string> needed, int rank, bool admitted) {
+void Throttle::offered(std::span<const std::string> needed, int rank, double share) {
   for (const std::string& service : needed) {
     Count& count = services_[service].counts[rank];
     count.offered += 1;
-    if (admitted) count.admitted += 1;
+    count.admitted += share;
   }
 }
 
@@ -59,15 +58,18 @@
   double total = 0;
   for (const auto& [other, mean] : state.offered) total += mean;
   if (state.share >= 1 || total <= 0) return state.share;
-  const double floor = std::min(options_.floor, state.share);
-  // What is left for a rank and those below it, after the more important ones took theirs.
-  double left = state.share * total;
+  const double floor = options_.floor * state.share;
+  const double steady = std::max(state.share, state.steady_share);
+  const int lowest = state.offered.rbegin()->first;
+  // Requests let in of the ranks so far, and offered of those below.
+  double taken = 0;
   double below = total;
   for (const auto& [other, mean] : state.offered) {
     below -= mean;
+    const double left = (other == lowest ? state.share : steady) * total - taken;
     const double share = mean <= 0 ? 1 : std::clamp((left - floor * below) / mean, floor, 1.0);
     if (other == rank) return share;
-    left -= share * mean;
+    taken += share * mean;
   }
   return state.share;
 }
--- a/src/damaskthread/entrance/throttle.h
+++ b/src/damaskthread/entrance/throttle.h
@@ -16,18 +16,20 @@
 
 struct ThrottleOptions {
   /// Load (running and waiting requests for each slot) that is steered towards.
-  double target_load = 0.92;
+  double target_load = 1.05;
   /// Largest load that is believed, so that one deep queue does not shut the entrance.
   double max_load = 1.6;
   /// Time over which the load is averaged.
-  core::Duration load_time = std::chrono::milliseconds{250};
+  core::Duration load_time = std::chrono::milliseconds{400};
   /// Time over which the admitted share is averaged: about as long as a request takes to reach the service that limits
   /// it, so that load and share speak of the same requests.
-  core::Duration share_time = std::chrono::milliseconds{600};
+  core::Duration share_time = std::chrono::milliseconds{1000};
+  /// Time over which the share is averaged for the ranks above the least important: a short dip costs only the latter.
+  core::Duration steady_time = std::chrono::seconds{3};
   /// Growth of the admitted share in a second.
-  double rise = 0.5;
-  /// Share that is let in of a rank as long as any rank gets more, so that none starves.
-  double floor = 0.3;
+  double rise = 1.0;
+  /// Share that is let in of each rank, as a part of the share of all requests, so that no rank starves.
+  double floor = 0.35;
   /// Smallest share that is let in altogether.
   double least = 0.05;
 };
@@ -54,7 +56,8 @@
   [[nodiscard]] double admitted_share(std::span<const std::string> needed, int rank) const;
 
   /// @brief Counts a new request.
-  void offered(std::span<const std::string> needed, int rank, bool admitted);
+  /// @param share The share of its kind that was let in; the mean of it is steadier than counting who was let in.
+  void offered(std::span<const std::string> needed, int rank, double share);
 
   /// @brief Share of the requests that need a service which is turned away for its sake, 0 to 1.
   [[nodiscard]] double pressure(const std::string& service) const;
@@ -70,6 +73,8 @@
     double recent_share = 1;
     /// Share that is let in now.
     double share = 1;
+    /// Mean of `share`.
+    double steady_share = 1;
     /// New requests in the present interval, by rank.
     std::map<int, Count> counts;
     /// Mean of the offered requests of an interval, by rank.
--- a/src/damaskthread/mesh/ingress.cc
+++ b/src/damaskthread/mesh/ingress.cc
@@ -139,7 +139,7 @@
   const std::vector<std::string> needed = needed_services(exchange, now);
   const double share = throttle_.admitted_share(needed, exchange.priority);
   const bool admitted = share >= 1 || std::uniform_real_distribution<double>(0, 1)(random_) < share;
-  throttle_.offered(needed, exchange.priority, admitted);
+  throttle_.offered(needed, exchange.priority, share);
   return admitted;
 }
 
