Add a fault soak of the real mesh daemons; take the admin address from the settings

Cause: nothing ran the mesh daemon outside the bench; two daemons on one machine could not start, since each listened at port 9464 for metrics (first run of the soak). Change: test/soak runs nine daemons as processes with stand-ins for store and servers, a loopback proxy and signals, and checks whole answers, at most once, true refusals, leaving servers and configuration; listen.admin and listen.advertised.

--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -52,7 +52,6 @@
 constexpr core::Duration kLastAccept = milliseconds{3200};
 // Left of the grace when requests that are still under way are given up.
 constexpr core::Duration kGraceReserve = milliseconds{400};
-constexpr std::uint16_t kMetricsPort = 9464;
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -93,7 +92,7 @@
       : settings(daemon_settings),
         settings_path(std::move(path)),
         adapter(daemon_adapter),
-        self(settings::to_string(settings.peers)),
+        self(settings::to_string(settings.advertised)),
         incarnation(new_incarnation()),
         log(settings.name, {}),
         gate(io, adapter, settings, log, tally, gate_hooks()),
@@ -104,10 +103,12 @@
         calls(io, to_http(settings.calls), max_callers(), [this](const auto& caller) { ingress.handle(caller); }),
         ready(io, to_http(settings.ready), max_callers(), [this](const auto& caller) { answer_ready(*caller); }),
         control(io, to_http(settings.control), max_callers(), [this](const auto& caller) { answer_control(*caller); }),
-        admin(io, {settings.calls.host, kMetricsPort}, max_callers(),
-              [this](const auto& caller) { answer_admin(*caller); }),
         ticker(io),
         signals(io, SIGTERM, SIGINT, SIGHUP) {
+    if (settings.admin) {
+      admin = std::make_unique<HttpListener>(io, to_http(*settings.admin), max_callers(),
+                                             [this](const auto& caller) { answer_admin(*caller); });
+    }
     ingress.set_local_service(settings.service);
     note_settings_time();
     wait_signal();
@@ -401,7 +402,7 @@
       calls.sweep(time);
       control.sweep(time);
       ready.sweep(time);
-      admin.sweep(time);
+      if (admin) admin->sweep(time);
       tally.tick(time);
     }
     if (time >= status_due) {
@@ -475,7 +476,7 @@
   HttpListener calls;
   HttpListener ready;
   HttpListener control;
-  HttpListener admin;
+  std::unique_ptr<HttpListener> admin;
   asio::steady_timer ticker;
   asio::signal_set signals;
 };
--- a/src/damaskthread/mesh/settings.cc
+++ b/src/damaskthread/mesh/settings.cc
@@ -110,6 +110,9 @@
   for (const EndpointField& field : kListenFields) {
     listen.endpoint(field.name, settings.*field.member, Presence::kRequired);
   }
+  if (settings::Endpoint admin; listen.endpoint("admin", admin, Presence::kOptional)) settings.admin = admin;
+  settings.advertised = settings.peers;
+  listen.endpoint("advertised", settings.advertised, Presence::kOptional);
   listen.report_unknown();
   reader.report_unknown();
   for (std::size_t i = 0; i < kListenFields.size(); ++i) {
@@ -157,7 +160,7 @@
   for (const EndpointField& field : kListenFields) {
     out << "listen." << field.name << ": " << to_string(settings.*field.member) << "\n";
   }
-  out << "local_server: " << to_string(settings.local_server) << "\nstore: " << to_string(settings.store) << "\nseeds:";
+  out << "listen.advertised: " << to_string(settings.advertised) << "\nlocal_server: " << to_string(settings.local_server) << "\nstore: " << to_string(settings.store) << "\nseeds:";
   for (const settings::Endpoint& seed : settings.seeds) out << " " << to_string(seed);
   out << "\nheartbeat: " << ms(settings.heartbeat) << "\nmax_descriptors: " << settings.max_descriptors
       << "\nlog_level: " << to_string(settings.log_level) << "\npromises.drain: " << ms(settings.promises.drain)
--- a/src/damaskthread/mesh/settings.h
+++ b/src/damaskthread/mesh/settings.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <filesystem>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +39,10 @@
   settings::Endpoint peers;    ///< Takes connections of other daemons.
   settings::Endpoint ready;    ///< Answers whether the daemon is ready.
   settings::Endpoint control;  ///< Takes heartbeats of the server.
+  /// Serves metrics and status; none if it is not set.
+  std::optional<settings::Endpoint> admin;
+  /// Where other daemons reach `peers`, if that differs; names this daemon.
+  settings::Endpoint advertised;
   settings::Endpoint local_server;
   settings::Endpoint store;
   std::vector<settings::Endpoint> seeds;  ///< Peer addresses to try at the start, besides those on the store.
--- /dev/null
+++ b/test/soak/store.cc
@@ -0,0 +1,136 @@
+#include "store.h"
+
+#include <sodium.h>
+
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace damaskthread::soak {
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+std::string query_value(std::string_view target, std::string_view name) {
+  const std::size_t at = target.find(std::string(name) + "=");
+  if (at == std::string_view::npos) return "";
+  const std::string_view rest = target.substr(at + name.size() + 1);
+  return std::string(rest.substr(0, rest.find('&')));
+}
+
+std::uint64_t number(const std::string& text) { return text.empty() ? 0 : std::stoull(text); }
+
+std::string big_endian(std::uint64_t value, int bytes) {
+  std::string text;
+  for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) text.push_back(static_cast<char>((value >> shift) & 0xFFU));
+  return text;
+}
+
+std::string base64(const std::string& bytes) {
+  std::string text(sodium_base64_ENCODED_LEN(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
+  sodium_bin2base64(text.data(), text.size(), reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
+                    sodium_base64_VARIANT_ORIGINAL);
+  text.resize(text.size() - 1);
+  return text;
+}
+
+}  // namespace
+
+Store::Store(boost::asio::io_context& io, std::uint16_t port)
+    : listener_(io, {"127.0.0.1", port}, 4096, [this](const auto& request) { handle(request); }), timer_(io) {
+  schedule();
+}
+
+void Store::schedule() {
+  timer_.expires_after(milliseconds(20));
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    release_waiting();
+    schedule();
+  });
+}
+
+void Store::handle(const std::shared_ptr<mesh::CallerRequest>& request) {
+  const std::string& target = request->request.target;
+  if (fault_ == Fault::kRefuse) return request->answer({503, {}, ""});
+  if (fault_ == Fault::kSilent) {
+    unanswered_.push_back(request);
+    return;
+  }
+  const std::string topic = query_value(target, "topic");
+  if (target.starts_with("/log-append")) {
+    append(topic, request->request.body);
+    if (fault_ == Fault::kLoseAnswers) {
+      unanswered_.push_back(request);
+    } else {
+      request->answer({200, {}, "{}"});
+    }
+  } else if (target.starts_with("/log-newest")) {
+    request->answer(newest(topic));
+  } else if (target.starts_with("/log-read")) {
+    const milliseconds wait(number(query_value(target, "wait_ms")));
+    waiting_.push_back({request, topic, number(query_value(target, "from")), Clock::now() + wait});
+    release_waiting();
+  } else {
+    request->answer({404, {}, ""});
+  }
+}
+
+void Store::append(const std::string& topic, std::string_view body) {
+  while (body.size() > 4) {
+    std::size_t length = 0;
+    for (int i = 0; i < 4; ++i) length = (length << 8U) | static_cast<unsigned char>(body[i]);
+    const std::string_view content = body.substr(4, length);
+    const auto key_length = static_cast<unsigned char>(content[0]);
+    topics_[topic].records.push_back(
+        {std::string(content.substr(1, key_length)), std::string(content.substr(1 + key_length))});
+    body.remove_prefix(4 + length);
+  }
+}
+
+void Store::operator_writes(const std::string& key, const std::string& value) {
+  topics_["keyed.op"].records.push_back({key, value});
+}
+
+void Store::forget_history() {
+  for (auto& [name, topic] : topics_) topic.first = topic.records.size();
+}
+
+http::Response Store::newest(const std::string& topic) {
+  const Topic& records = topics_[topic];
+  std::map<std::string, std::string> values;
+  for (const Record& record : records.records) values[record.key] = record.value;
+  Json items = Json::array();
+  for (const auto& [key, value] : values) items.push_back({{"key", key}, {"value", base64(value)}, {"offset", 0}});
+  return {200, {}, Json{{"items", items}, {"more", false}, {"end", records.records.size()}}.dump()};
+}
+
+http::Response Store::changes(const std::string& topic, std::uint64_t from) {
+  const Topic& records = topics_[topic];
+  if (from < records.first) return {410, {}, Json{{"first", records.first}}.dump()};
+  std::string body = big_endian(records.records.size(), 8) + big_endian(records.first, 8);
+  for (std::size_t i = from; i < records.records.size(); ++i) {
+    const Record& record = records.records[i];
+    body += big_endian(1 + record.key.size() + record.value.size(), 4) + static_cast<char>(record.key.size()) +
+            record.key + record.value;
+  }
+  return {200, {}, std::move(body)};
+}
+
+void Store::release_waiting() {
+  if (fault_ == Fault::kSilent) return;
+  std::vector<Waiting> ready;
+  std::erase_if(waiting_, [&](const Waiting& waiting) {
+    if (waiting.request->done()) return true;
+    const Topic& topic = topics_[waiting.topic];
+    if (waiting.from >= topic.records.size() && waiting.until > Clock::now()) return false;
+    ready.push_back(waiting);
+    return true;
+  });
+  for (const Waiting& waiting : ready) waiting.request->answer(changes(waiting.topic, waiting.from));
+  if (fault_ == Fault::kNone) unanswered_.clear();
+}
+
+}  // namespace damaskthread::soak
--- a/test/support/http_caller.cc
+++ b/test/support/http_caller.cc
@@ -160,8 +160,11 @@
   const Clock::time_point deadline = Clock::now() + request.timeout;
   HttpAnswer answer;
   if (!alive() && !connect(deadline)) return answer;
-  std::string text = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + ip_ + ":" + std::to_string(port_) +
-                     "\r\nContent-Length: " + std::to_string(request.body.size()) + "\r\n";
+  const bool names_host = std::any_of(request.headers.begin(), request.headers.end(),
+                                      [](const auto& header) { return header.first == "Host"; });
+  std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+  if (!names_host) text += "Host: " + ip_ + ":" + std::to_string(port_) + "\r\n";
+  text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
   for (const auto& [name, value] : request.headers) text.append(name).append(": ").append(value).append("\r\n");
   text += "\r\n" + request.body;
   answer.exchange = Exchange::kNoAnswer;
