--- a/src/damaskthread/mesh/settings.cc
+++ b/src/damaskthread/mesh/settings.cc
@@ -160,7 +160,9 @@
   for (const EndpointField& field : kListenFields) {
     out << "listen." << field.name << ": " << to_string(settings.*field.member) << "\n";
   }
-  out << "listen.advertised: " << to_string(settings.advertised) << "\nlocal_server: " << to_string(settings.local_server) << "\nstore: " << to_string(settings.store) << "\nseeds:";
+  out << "listen.advertised: " << to_string(settings.advertised)
+      << "\nlocal_server: " << to_string(settings.local_server) << "\nstore: " << to_string(settings.store)
+      << "\nseeds:";
   for (const settings::Endpoint& seed : settings.seeds) out << " " << to_string(seed);
   out << "\nheartbeat: " << ms(settings.heartbeat) << "\nmax_descriptors: " << settings.max_descriptors
       << "\nlog_level: " << to_string(settings.log_level) << "\npromises.drain: " << ms(settings.promises.drain)
--- a/test/support/child_process.cc
+++ b/test/support/child_process.cc
@@ -74,6 +74,8 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.empty() ? "/dev/null" : output.c_str(),
                                    O_WRONLY | O_CREAT | O_TRUNC, 0600);
+  // A child that inherits the sockets of this process would keep its ports in use.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int failure = posix_spawn(&pid_, program.c_str(), &actions, nullptr, argv.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   if (failure != 0) throw std::runtime_error("cannot start " + program);
