--- a/app/damaskctl/main.cc
+++ b/app/damaskctl/main.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "damaskthread/client/commands.h"
+#include "damaskthread/client/explain.h"
 
 ABSL_FLAG(std::string, server, "127.0.0.1:7003", "Admin ports of daemons, separated by commas.");
 ABSL_FLAG(std::string, token_file, "", "File that holds the operator's token.");
@@ -65,6 +66,23 @@
   return options;
 }
 
+// Works on files alone; no daemon is asked.
+int explain(const CommandOptions& options) {
+  if (options.names.empty()) throw UsageError{"explain needs the id of a request"};
+  Story story(options.names.front());
+  if (options.names.size() == 1) story.read(std::cin);
+  for (std::size_t i = 1; i < options.names.size(); ++i) {
+    std::ifstream log{options.names[i]};
+    if (!log) throw UsageError{"cannot read the log " + options.names[i]};
+    story.read(log);
+  }
+  story.print(std::cout, options.json);
+  if (story.unreadable() > 0) std::cerr << "damaskctl: " << story.unreadable() << " lines cannot be read\n";
+  if (!story.empty()) return static_cast<int>(ExitCode::kOk);
+  std::cerr << "damaskctl: no line mentions " << options.names.front() << '\n';
+  return static_cast<int>(ExitCode::kDifferent);
+}
+
 int run(int argc, char** argv) {
   Arguments arguments = prepare_arguments({argv + 1, argv + argc});
   if (!arguments.error.empty()) throw UsageError{arguments.error};
@@ -76,6 +94,7 @@
   for (std::string& value : arguments.values) prepared.push_back(value.data());
   const std::vector<char*> positional = absl::ParseCommandLine(static_cast<int>(prepared.size()), prepared.data());
   const CommandOptions options = options_from(positional);
+  if (options.command == "explain") return explain(options);
   const auto servers = parse_servers(absl::GetFlag(FLAGS_server));
   if (!servers) throw UsageError{"--server needs IP:PORT"};
   AdminClient client{http_transport(), *servers, read_token(absl::GetFlag(FLAGS_token_file))};
--- a/src/damaskthread/client/arguments.cc
+++ b/src/damaskthread/client/arguments.cc
@@ -21,6 +21,7 @@
   delete NAME               delete a declaration (--version N: only if it is the version in force)
   watch                     print each change as it is accepted (--after REVISION, --count N)
   status                    show which version is in force where, and which daemons lag
+  explain ID [LOG...]       tell the story of a request from the logs of mesh daemons (default: standard input)
   report                    show the service-level objectives and the budget that is left
 
 Flags:
@@ -32,7 +33,7 @@
 
 Exit codes:
   0  done
-  1  there are differences, another change came first, or a version is not in force everywhere yet
+  1  there are differences, no log knows the request, another change came first, or a version is not in force everywhere yet
   2  the command line is wrong
   3  no daemon or no log can be reached; nothing was done
   4  the outcome is unknown; run the same command again
--- a/src/damaskthread/gate/server_life.h
+++ b/src/damaskthread/gate/server_life.h
@@ -27,7 +27,7 @@
   /// Wall-clock start of this life in milliseconds; tells two lives under one id apart.
   std::int64_t born = 0;
   /// How much longer the server is slow after its start.
-  core::Duration cold_left{0};
+  core::Duration warm_up_left{0};
 };
 
 enum class ServerState : std::uint8_t {
--- a/test/platform/adapter_test.cc
+++ b/test/platform/adapter_test.cc
@@ -59,7 +59,7 @@
   CHECK(announcement.capacity == 66);
   CHECK(announcement.sequence == 4);
   CHECK(announcement.born == 1779457800020);
-  CHECK(announcement.cold_left == milliseconds{1500});
+  CHECK(announcement.warm_up_left == milliseconds{1500});
   CHECK(!announcement.leaving);
 }
 
