Make the new sources clean under clang-tidy

Cause: lint named casts, unused names, copies and styles in the new sources. Change: those places; no behaviour changes.

--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -52,7 +52,6 @@
 constexpr core::Duration kLastAccept = milliseconds{3200};
 // Left of the grace when requests that are still under way are given up.
 constexpr core::Duration kGraceReserve = milliseconds{400};
-constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr int kBadRequest = 400;
--- a/src/damaskthread/mesh/gate_host.cc
+++ b/src/damaskthread/mesh/gate_host.cc
@@ -37,13 +37,10 @@
 constexpr int kMisdirected = 421;
 
 std::uint64_t fingerprint_of(const peer::Execute& execute) {
+  const std::array<const std::string*, 5> parts = {&execute.service, &execute.caller_service, &execute.request.method,
+                                                   &execute.request.target, &execute.request.body};
   std::string text;
-  for (const std::string_view part :
-       {std::string_view(execute.service), std::string_view(execute.caller_service),
-        std::string_view(execute.request.method), std::string_view(execute.request.target),
-        std::string_view(execute.request.body)}) {
-    text.append(part).push_back('\0');
-  }
+  for (const std::string* part : parts) text.append(*part).push_back('\0');
   return XXH3_64bits(text.data(), text.size());
 }
 
@@ -383,8 +380,8 @@
   applied_state_ = state;
   const auto& announcement = life_.announcement();
   log_.line(LineClass::kBelief, "server_state",
-            {{"server", announcement ? std::string_view(announcement->id) : std::string_view()},
-             {"service", announcement ? std::string_view(announcement->service) : std::string_view()},
+            {{"server", announcement ? announcement->id : std::string()},
+             {"service", announcement ? announcement->service : std::string()},
              {"state", gate::to_string(state)},
              {"sequence", announcement ? announcement->sequence : 0},
              {"running", gate_.running()}});
--- a/src/damaskthread/mesh/server_connections.cc
+++ b/src/damaskthread/mesh/server_connections.cc
@@ -22,7 +22,7 @@
 std::shared_ptr<HttpConnection> ServerConnections::acquire(core::TimePoint now, bool fresh) {
   while (!idle_.empty()) {
     if (fresh && now - idle_.back().since > kFreshFor) break;
-    const std::shared_ptr<HttpConnection> connection = std::move(idle_.back().connection);
+    std::shared_ptr<HttpConnection> connection = std::move(idle_.back().connection);
     idle_.pop_back();
     if (connection->usable(now)) return connection;
     connection->close();
--- a/src/damaskthread/mesh/store_client.cc
+++ b/src/damaskthread/mesh/store_client.cc
@@ -51,7 +51,7 @@
 
 StoreCall::~StoreCall() { close(); }
 
-void StoreCall::call(const http::Request& request, core::Duration limit, Done done) {
+void StoreCall::call(const http::Request& request, core::Duration limit, const Done& done) {
   if (connection_ != nullptr && !connection_->usable(now())) connection_.reset();
   if (connection_ == nullptr) connection_ = std::make_shared<HttpConnection>(io_, endpoint_, kStoreTimings);
   http::Request message = request;
@@ -62,7 +62,7 @@
     close();
     done({0, {}, {}});
   });
-  connection_->send(message, [this, done](ExchangeResult exchange) {
+  connection_->send(message, [this, done](const ExchangeResult& exchange) {
     timer_.cancel();
     const bool answered = exchange.end == ExchangeEnd::kAnswered;
     if (!answered || !http::find(exchange.response.headers, "Connection").empty()) {
--- a/src/damaskthread/mesh/store_client.h
+++ b/src/damaskthread/mesh/store_client.h
@@ -30,7 +30,7 @@
   /// @brief Makes a call.
   /// @param limit Time after which the call is given up.
   /// @param done Called with the answer; status 0 says that there was none.
-  void call(const http::Request& request, core::Duration limit, Done done);
+  void call(const http::Request& request, core::Duration limit, const Done& done);
   /// @brief Runs something after the pause that the last failures call for.
   void after_failure(std::function<void()> next);
   /// @brief Runs something after a time.
--- a/src/damaskthread/peer/frame.cc
+++ b/src/damaskthread/peer/frame.cc
@@ -104,7 +104,7 @@
   return {};
 }
 
-Message decode_hello(const Json& fields, std::string /*body*/) {
+Message decode_hello(const Json& fields, std::string&& /*body*/) {
   Hello hello;
   hello.protocol = fields.at(1).get<std::uint64_t>();
   hello.incarnation.value = fields.at(2).get<std::uint64_t>();
@@ -113,7 +113,7 @@
   return hello;
 }
 
-Message decode_execute(const Json& fields, std::string body) {
+Message decode_execute(const Json& fields, std::string&& body) {
   Execute execute;
   execute.stream = fields.at(1).get<std::uint64_t>();
   execute.attempt_id = fields.at(2).get<std::string>();
@@ -134,7 +134,7 @@
   return execute;
 }
 
-Message decode_result(const Json& fields, std::string body) {
+Message decode_result(const Json& fields, std::string&& body) {
   Result result;
   result.stream = fields.at(1).get<std::uint64_t>();
   result.verdict.execution = static_cast<core::Execution>(fields.at(2).get<int>());
@@ -150,12 +150,12 @@
   return result;
 }
 
-Message decode_cancel(const Json& fields, std::string /*body*/) { return Cancel{fields.at(1).get<std::uint64_t>()}; }
-Message decode_resume(const Json& fields, std::string /*body*/) {
+Message decode_cancel(const Json& fields, std::string&& /*body*/) { return Cancel{fields.at(1).get<std::uint64_t>()}; }
+Message decode_resume(const Json& fields, std::string&& /*body*/) {
   return Resume{fields.at(1).get<std::uint64_t>(), fields.at(2).get<bool>()};
 }
 
-Message decode_status(const Json& fields, std::string /*body*/) {
+Message decode_status(const Json& fields, std::string&& /*body*/) {
   Status status;
   status.configuration_version = fields.at(1).get<std::uint64_t>();
   status.service = fields.at(2).get<std::string>();
@@ -168,15 +168,15 @@
   return status;
 }
 
-Message decode_configuration(const Json& fields, std::string body) {
+Message decode_configuration(const Json& fields, std::string&& body) {
   return Configuration{fields.at(1).get<std::uint64_t>(), std::move(body)};
 }
 
-Message decode_crash(const Json& fields, std::string /*body*/) {
+Message decode_crash(const Json& fields, std::string&& /*body*/) {
   return Crash{{fields.at(1).get<std::uint64_t>(), fields.at(2).get<std::vector<std::uint64_t>>()}};
 }
 
-using Decoder = Message (*)(const Json&, std::string);
+using Decoder = Message (*)(const Json& fields, std::string&& body);
 constexpr std::array<Decoder, std::variant_size_v<Message>> kDecoders = {
     decode_hello,  decode_execute, decode_result,        decode_cancel,
     decode_resume, decode_status,  decode_configuration, decode_crash};
@@ -197,7 +197,8 @@
 }
 
 boost::leaf::result<std::optional<Message>> FrameReader::next() {
-  const std::string_view unread = std::string_view(buffer_).substr(begin_);
+  std::string_view unread = buffer_;
+  unread.remove_prefix(begin_);
   if (unread.size() < 2 * kLengthBytes) return std::optional<Message>();
   const std::size_t length = read_length(unread);
   if (length < kLengthBytes || length > kMaxFrameBytes) return malformed("the length of the frame is out of bounds");
--- a/test/damaskthread/entrance/throttle_test.cc
+++ b/test/damaskthread/entrance/throttle_test.cc
@@ -23,7 +23,7 @@
 constexpr double kRunMs = 65;
 // Requests that the service can carry in a second.
 constexpr double kCapacity = kSlots * 1000 / kRunMs / kCallsPerRequest;
-const std::vector<std::string> kNeeded = {"entry", "stock"};
+const std::vector<std::string> needed_services = {"entry", "stock"};
 
 struct Outcome {
   double served_per_second = 0;
@@ -90,8 +90,8 @@
       for (int i = arrivals(random_); i > 0; --i) {
         if (counted) asked[rank] += 1;
         Throttle& throttle = throttles_[random_() % throttles_.size()];
-        const double share = throttle.admitted_share(kNeeded, rank);
-        throttle.offered(kNeeded, rank, share);
+        const double share = throttle.admitted_share(needed_services, rank);
+        throttle.offered(needed_services, rank, share);
         if (std::uniform_real_distribution<double>(0, 1)(random_) < share)
           between_.push_back({rank, kCallsPerRequest, ms + kToServiceMs, 0, 0, counted});
       }
@@ -161,7 +161,7 @@
   const gate::Load full{kSlots, kSlots, 30, milliseconds(65)};
   const gate::Load light{kSlots, 4, 0, milliseconds(65)};
   for (int i = 0; i < 100; ++i) {
-    throttle.offered(kNeeded, 2, throttle.admitted_share(kNeeded, 2));
+    throttle.offered(needed_services, 2, throttle.admitted_share(needed_services, 2));
     throttle.observe("stock", full, milliseconds(100));
   }
   CHECK(throttle.pressure("stock") > 0.3);
--- a/test/damaskthread/gate/server_gate_test.cc
+++ b/test/damaskthread/gate/server_gate_test.cc
@@ -40,6 +40,7 @@
   std::vector<Ticket> refuse;
   gate.advance(now, start, refuse);
   std::vector<std::uint64_t> values;
+  values.reserve(start.size());
   for (const Ticket ticket : start) values.push_back(ticket.value);
   return values;
 }
--- a/test/damaskthread/placement/server_pool_test.cc
+++ b/test/damaskthread/placement/server_pool_test.cc
@@ -34,7 +34,7 @@
   return result;
 }
 
-const Need kNeed = {"s", "k", core::Duration{0}, {}, {}};
+const Need any_need = {"s", "k", core::Duration{0}, {}, {}};
 
 }  // namespace
 
@@ -42,9 +42,9 @@
   ServerPool pool;
   add(pool, "near", true, report(10));
   add(pool, "far", false, report(10));
-  CHECK(choices(pool, kNeed, 100)["near"] == 100);
+  CHECK(choices(pool, any_need, 100)["near"] == 100);
   pool.set_server("near", true, report(39));
-  CHECK(choices(pool, kNeed, 100)["far"] == 100);
+  CHECK(choices(pool, any_need, 100)["far"] == 100);
 }
 
 TEST_CASE("what was sent since the last report counts") {
@@ -54,7 +54,7 @@
   core::Random random(1);
   std::map<std::string, int> sent;
   for (int i = 0; i < 18; ++i) {
-    const auto chosen = pool.choose(kNeed, kStart, random);
+    const auto chosen = pool.choose(any_need, kStart, random);
     REQUIRE(chosen);
     pool.sent(*chosen);
     ++sent[*chosen];
@@ -68,9 +68,9 @@
   add(pool, "a", true, report(0, 10));
   add(pool, "b", true, report(8, 10));
   for (int i = 0; i < 30; ++i) pool.sent("a");
-  CHECK(choices(pool, kNeed, 20)["b"] == 20);
+  CHECK(choices(pool, any_need, 20)["b"] == 20);
   pool.heard_load("a", {10, 1, 0, milliseconds{50}});
-  CHECK(choices(pool, kNeed, 20)["a"] == 20);
+  CHECK(choices(pool, any_need, 20)["a"] == 20);
 }
 
 TEST_CASE("a slow server gets less, a failing one next to nothing") {
@@ -81,9 +81,9 @@
     pool.finished("fast", "k", milliseconds{50}, false);
     pool.finished("slow", "k", milliseconds{200}, false);
   }
-  CHECK(choices(pool, kNeed, 100)["fast"] == 100);
+  CHECK(choices(pool, any_need, 100)["fast"] == 100);
   for (int i = 0; i < 100; ++i) pool.finished("fast", "k", milliseconds{50}, true);
-  CHECK(choices(pool, kNeed, 100)["slow"] == 100);
+  CHECK(choices(pool, any_need, 100)["slow"] == 100);
 }
 
 TEST_CASE("servers of other services, out of reach or not ready are never chosen") {
@@ -92,18 +92,18 @@
   add(pool, "leaving", true, {"s", false, {10, 0, 0, {}}});
   add(pool, "cut", true, report(0));
   pool.set_reachable("cut", false);
-  CHECK(choices(pool, kNeed, 10).empty());
+  CHECK(choices(pool, any_need, 10).empty());
   CHECK(!pool.any("s"));
   CHECK(pool.count("s") == 2);
   add(pool, "good", false, report(0));
-  CHECK(choices(pool, kNeed, 10)["good"] == 10);
+  CHECK(choices(pool, any_need, 10)["good"] == 10);
 }
 
 TEST_CASE("news that a daemon can be reached counts before its first report") {
   ServerPool pool;
   pool.set_reachable("a", true);
   pool.set_server("a", true, report(0));
-  CHECK(choices(pool, kNeed, 1)["a"] == 1);
+  CHECK(choices(pool, any_need, 1)["a"] == 1);
 }
 
 TEST_CASE("tried servers are left out, and a request may be held to certain ones") {
@@ -111,7 +111,7 @@
   for (const char* name : {"a", "b", "c"}) add(pool, name, true, report(0));
   const std::vector<std::string> tried = {"a"};
   const std::vector<std::string> only = {"a", "b"};
-  Need need = kNeed;
+  Need need = any_need;
   need.tried = tried;
   need.only = only;
   CHECK(choices(pool, need, 10)["b"] == 10);
@@ -169,7 +169,7 @@
       }
       std::poisson_distribution<int> arrivals(kCallsPerMs / 3);
       for (int i = arrivals(random); i > 0; --i) {
-        const auto chosen = pools[entrance].choose(kNeed, kStart + milliseconds{ms}, random);
+        const auto chosen = pools[entrance].choose(any_need, kStart + milliseconds{ms}, random);
         REQUIRE(chosen);
         pools[entrance].sent(*chosen);
         if (ms >= kWarmUpMs) ++count;
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -3,7 +3,6 @@
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <signal.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -11,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <chrono>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -48,7 +48,7 @@
 // A configuration is in force everywhere after this, where nothing harms the daemon asked.
 constexpr seconds kConfigurationBound{2};
 
-const std::vector<std::string> kServices = {"lookup", "payment", "pricing"};
+const std::vector<std::string> service_names = {"lookup", "payment", "pricing"};
 
 struct Vm {
   std::string name;
@@ -91,7 +91,7 @@
     const std::uint16_t store_port = next_port();
     store_ = std::make_unique<Store>(io_, store_port);
     store_->operator_writes("config", configuration());
-    for (std::size_t i = 0; i < kServices.size() * kVmsPerService; ++i) add_vm(i, store_port);
+    for (std::size_t i = 0; i < service_names.size() * kVmsPerService; ++i) add_vm(i, store_port);
     loop_ = std::thread([this] {
       auto work = boost::asio::make_work_guard(io_);
       io_.run();
@@ -113,6 +113,7 @@
 
   int run(std::chrono::duration<double> time) {
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int i = 0; i < kCallers; ++i) callers.emplace_back([this, i] { call(i); });
     const auto end = Clock::now() + time;
     while (Clock::now() < end) {
@@ -131,8 +132,8 @@
  private:
   void add_vm(std::size_t i, std::uint16_t store_port) {
     auto vm = std::make_unique<Vm>();
-    const std::string& service = kServices[i % kServices.size()];
-    vm->name = service + "-" + std::to_string(i / kServices.size());
+    const std::string& service = service_names[i % service_names.size()];
+    vm->name = service + "-" + std::to_string(i / service_names.size());
     vm->ports = {next_port(), next_port(), next_port()};
     vm->peers = next_port();
     vm->ready = next_port();
@@ -141,7 +142,7 @@
     vm->log_path = logs_ + "/" + vm->name + ".log";
     const auto at = [](std::uint16_t port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; };
     std::ofstream(vm->settings_path) << R"({"name":")" << vm->name << R"(","service":")" << service << R"(","zone":"z)"
-                                     << i / kServices.size() << R"(","listen":{"calls":)" << at(vm->ports.calls)
+                                     << i / service_names.size() << R"(","listen":{"calls":)" << at(vm->ports.calls)
                                      << R"(,"peers":)" << at(vm->peers) << R"(,"advertised":)" << at(vm->proxy_port)
                                      << R"(,"ready":)" << at(vm->ready) << R"(,"control":)" << at(vm->ports.control)
                                      << R"(},"local_server":)" << at(vm->ports.app) << R"(,"store":)" << at(store_port)
@@ -173,15 +174,17 @@
   std::string configuration() {
     ++version_;
     std::string hosts;
-    for (const std::string& service : kServices) {
+    for (const std::string& service : service_names) {
       const std::string kind = service == "payment" ? "non_idempotent" : "idempotent";
+      const char* const rank = service == "payment" ? "0" : "2";
       const auto path = [&](const std::string& prefix) {
-        return R"({"name":")" + service + prefix + R"(","path_prefix":")" + prefix + R"(","kind":")" + kind +
-               R"(","timeout":"1500ms","slo":"800ms","priority":)" + (service == "payment" ? "0" : "2") +
-               R"(,"service":")" + service + R"(","max_attempts":2})";
+        std::string text = R"({"name":")";
+        text.append(service).append(prefix).append(R"(","path_prefix":")").append(prefix);
+        text.append(R"(","kind":")").append(kind).append(R"(","timeout":"1500ms","slo":"800ms","priority":)");
+        return text.append(rank).append(R"(,"service":")").append(service).append(R"(","max_attempts":2})");
       };
-      hosts += (hosts.empty() ? "" : ",") + std::string(R"({"host":")") + service + R"(.example","paths":[)" +
-               path("/") + "," + path("/v" + std::to_string(version_) + "/") + "]}";
+      hosts.append(hosts.empty() ? "" : ",").append(R"({"host":")").append(service).append(R"(.example","paths":[)");
+      hosts.append(path("/")).append(",").append(path("/v" + std::to_string(version_) + "/")).append("]}");
     }
     return R"({"version":)" + std::to_string(version_) +
            R"(,"services":[{"name":"lookup","health_path":"/health","max_conns":500},)"
@@ -195,10 +198,10 @@
   void inject() {
     Vm& vm = *vms_[random_() % vms_.size()];
     const milliseconds length(500 + random_() % 2500);
-    const unsigned fault = random_() % kFaults.size();
-    log_fault(kFaults[fault].name, vm, length);
+    const unsigned fault = random_() % fault_kinds.size();
+    log_fault(fault_kinds[fault].name, vm, length);
     vm.harmed_until_ms = now_ms() + length.count() + 6000;
-    (this->*kFaults[fault].inject)(vm, length);
+    (this->*fault_kinds[fault].inject)(vm, length);
   }
 
   void kill_daemon(Vm& vm, milliseconds length) {
@@ -269,7 +272,7 @@
     const char* name;
     void (Soak::*inject)(Vm&, milliseconds);
   };
-  static const std::vector<FaultKind> kFaults;
+  static const std::vector<FaultKind> fault_kinds;
 
   void heal() {
     for (const auto& vm : vms_) {
@@ -298,7 +301,7 @@
     std::size_t at = static_cast<std::size_t>(number) % vms_.size();
     auto caller = std::make_unique<support::HttpCaller>("127.0.0.1", vms_[at]->ports.calls);
     while (!stopping_) {
-      const std::string& service = kServices[random() % kServices.size()];
+      const std::string& service = service_names[random() % service_names.size()];
       const std::string attempt = std::to_string(number) + "x" + std::to_string(++count);
       support::HttpCall request;
       request.method = service == "payment" ? "POST" : "GET";
@@ -364,7 +367,8 @@
         if (ledger_.runs[attempt] > 0) violation("payment " + attempt + " was refused as not run, and ran");
       }
     });
-    const double at_end = static_cast<double>(served_at_end_) / std::max<std::uint64_t>(1, asked_at_end_);
+    const double at_end =
+        static_cast<double>(served_at_end_) / static_cast<double>(std::max<std::uint64_t>(1, asked_at_end_));
     if (at_end < kServedAtTheEnd) violation("served at the end: " + std::to_string(at_end));
     std::cout << "asked " << asked_ << ", served " << served_ << ", payments " << payments_.size()
               << ", refused payments " << refused_payments_.size() << ", served at the end " << at_end
@@ -396,7 +400,7 @@
   std::vector<std::string> violations_;
 };
 
-const std::vector<Soak::FaultKind> Soak::kFaults = {
+const std::vector<Soak::FaultKind> Soak::fault_kinds = {
     {"kill-daemon", &Soak::kill_daemon},
     {"stop-daemon", &Soak::stop_daemon},
     {"freeze-daemon", &Soak::freeze_daemon},
