Never refuse as not run what a server has run

Change: an answer of a server counts as a run like a lost one; such a request ends with 502. A daemon without a connection is not chosen twice. Measured: ingress_test fails without the change (503) and passes with it.

--- a/src/damaskthread/mesh/ingress.cc
+++ b/src/damaskthread/mesh/ingress.cc
@@ -216,7 +216,10 @@
     return;
   }
   PeerLink* const link = parts_.fleet.link(endpoint);
-  if (link == nullptr) return place(exchange, now);
+  if (link == nullptr) {
+    exchange->tried.push_back(endpoint);
+    return place(exchange, now);
+  }
   link->execute(execute, {ended, [this, exchange, stream] { on_interrupted(exchange, stream); }});
 }
 
@@ -277,7 +280,7 @@
   facts.overloaded = overloaded(*exchange, now);
   facts.others = choose(*exchange, now).has_value();
   exchange->last_cause = result.verdict.cause;
-  if (!result.answered && result.verdict.execution != core::Execution::kNotRun) exchange->may_have_run = true;
+  if (result.verdict.execution != core::Execution::kNotRun) exchange->may_have_run = true;
   switch (retry::next_step(facts)) {
     case retry::NextStep::kPassOn:
       pass_on(exchange, result);
