Make the soak's fleet a library, with process tests of its own

Change: store, servers, proxies and VMs move to test/meshfleet. Ports are held by bound sockets that never listen. The loop's thread ends with the fleet, signals end a soak in order, errors unwind. The path to the store has a proxy for each VM, so that the soak also cuts single daemons from it. test_meshfleet plays ten cases with real daemons. Both daemons load their settings with one function.

--- a/app/damaskthread_mesh/main.cc
+++ b/app/damaskthread_mesh/main.cc
@@ -7,16 +7,15 @@
 #include <log4cplus/initializer.h>
 #include <log4cplus/logger.h>
 
-#include <boost/leaf/handle_errors.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
-#include <optional>
 #include <string>
 
 #include "damaskthread/mesh/daemon.h"
 #include "damaskthread/mesh/settings.h"
+#include "damaskthread/settings/load.h"
 #include "platform/store_adapter.h"
 
 ABSL_FLAG(std::string, settings, "", "settings file (JSON with comments); default: $DAMASKTHREAD_CONFIG");
@@ -32,22 +31,6 @@
 constexpr int kExitInvalidSettings = 5;
 constexpr int kExitCutOff = 6;
 
-std::optional<MeshSettings> load(const std::string& path) {
-  return boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<std::optional<MeshSettings>> {
-        BOOST_LEAF_AUTO(settings, damaskthread::mesh::load_mesh_settings(path));
-        return std::optional(std::move(settings));
-      },
-      [](const damaskthread::settings::Errors& errors) {
-        std::cerr << damaskthread::settings::to_string(errors);
-        return std::optional<MeshSettings>();
-      },
-      [] {
-        std::cerr << "the settings cannot be read\n";
-        return std::optional<MeshSettings>();
-      });
-}
-
 // Lines are complete JSON objects already.
 void set_up_log() {
   log4cplus::helpers::Properties properties;
@@ -94,7 +77,8 @@
     std::cerr << "usage: damaskthread_mesh --settings FILE [--check]\n";
     return kExitUsage;
   }
-  const std::optional<MeshSettings> settings = load(path);
+  const auto settings =
+      damaskthread::settings::load_or_print<MeshSettings>(damaskthread::mesh::load_mesh_settings, path, std::cerr);
   if (!settings) return kExitInvalidSettings;
   if (absl::GetFlag(FLAGS_check)) {
     std::cout << describe(*settings);
--- a/app/damaskthreadd/main.cc
+++ b/app/damaskthreadd/main.cc
@@ -9,7 +9,6 @@
 #include <log4cplus/loggingmacros.h>
 #include <pthread.h>
 
-#include <boost/leaf/handle_errors.hpp>
 #include <csignal>
 #include <exception>
 #include <iostream>
@@ -18,6 +17,7 @@
 
 #include "damaskthread/daemon/daemon.h"
 #include "damaskthread/daemon/log.h"
+#include "damaskthread/settings/load.h"
 #include "damaskthread/settings/settings.h"
 
 ABSL_FLAG(std::string, settings, "", "settings file (JSON with comments)");
@@ -35,19 +35,7 @@
 constexpr int kExitCutOff = 6;
 
 std::optional<Settings> load(const std::string& path) {
-  return boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<std::optional<Settings>> {
-        BOOST_LEAF_AUTO(settings, damaskthread::settings::load(path));
-        return std::optional(std::move(settings));
-      },
-      [](const damaskthread::settings::Errors& errors) {
-        std::cerr << damaskthread::settings::to_string(errors);
-        return std::optional<Settings>();
-      },
-      [] {
-        std::cerr << "the settings cannot be read\n";
-        return std::optional<Settings>();
-      });
+  return damaskthread::settings::load_or_print<Settings>(damaskthread::settings::load, path, std::cerr);
 }
 
 log4cplus::LogLevel to_log4cplus(LogLevel level) {
--- /dev/null
+++ b/test/meshfleet/fleet.cc
@@ -0,0 +1,129 @@
+#include "meshfleet/fleet.h"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+namespace damaskthread::meshfleet {
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::seconds;
+
+std::string local(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
+
+Json path_entry(const ServiceSpec& service, const std::string& prefix) {
+  return {{"name", service.name + prefix},
+          {"path_prefix", prefix},
+          {"kind", service.idempotent ? "idempotent" : "non_idempotent"},
+          {"timeout", "1500ms"},
+          {"slo", "800ms"},
+          {"priority", service.idempotent ? 2 : 0},
+          {"service", service.name},
+          {"max_attempts", 2}};
+}
+
+}  // namespace
+
+Fleet::Fleet(std::vector<ServiceSpec> services, std::string logs)
+    : services_(std::move(services)), logs_(std::move(logs)) {
+  std::filesystem::create_directories(logs_);
+  const std::uint16_t store_port = reserve_port();
+  store_ = std::make_unique<Store>(io_, store_port);
+  for (const ServiceSpec& service : services_) {
+    for (int i = 0; i < service.vms; ++i) add_vm(service, i, store_port);
+  }
+  loop_ = std::make_unique<LoopThread>(io_);
+  publish();
+}
+
+Fleet::~Fleet() {
+  for (const auto& vm : vms_) {
+    if (vm->daemon != nullptr) vm->daemon->signal(SIGKILL);
+  }
+  for (const auto& vm : vms_) vm->daemon.reset();
+}
+
+void Fleet::add_vm(const ServiceSpec& service, int index, std::uint16_t store_port) {
+  auto vm = std::make_unique<Vm>();
+  vm->service = service.name;
+  vm->name = service.name + "-" + std::to_string(index);
+  vm->ports = {reserve_port(), reserve_port(), reserve_port()};
+  vm->peers = reserve_port();
+  vm->ready = reserve_port();
+  vm->peer_proxy_port = reserve_port();
+  vm->store_proxy_port = reserve_port();
+  vm->settings_path = logs_ + "/" + vm->name + ".json";
+  const Json settings = {{"name", vm->name},
+                         {"service", service.name},
+                         {"zone", "z" + std::to_string(index)},
+                         {"listen",
+                          {{"calls", local(vm->ports.calls)},
+                           {"peers", local(vm->peers)},
+                           {"advertised", local(vm->peer_proxy_port)},
+                           {"ready", local(vm->ready)},
+                           {"control", local(vm->ports.control)}}},
+                         {"local_server", local(vm->ports.app)},
+                         {"store", local(vm->store_proxy_port)},
+                         {"heartbeat", "300ms"},
+                         {"promises", {{"grace", "6s"}, {"repeat_slack", 50}}}};
+  std::ofstream(vm->settings_path) << settings.dump(2);
+  const std::string callee = service.callee.empty() ? "" : service.callee + ".example";
+  vm->server = std::make_unique<Server>(io_, service.name, vm->ports, callee, ledger_,
+                                        static_cast<unsigned>(vms_.size()));
+  vm->peer_proxy = std::make_unique<Proxy>(io_, vm->peer_proxy_port, vm->peers);
+  vm->store_proxy = std::make_unique<Proxy>(io_, vm->store_proxy_port, store_port);
+  vms_.push_back(std::move(vm));
+}
+
+bool Fleet::start() {
+  bool listening = true;
+  for (const auto& vm : vms_) start_daemon(*vm);
+  for (const auto& vm : vms_) {
+    listening = support::wait_for_port(vm->ports.control) && listening;
+    on_loop([&] { vm->server->start(); });
+  }
+  return listening;
+}
+
+void Fleet::start_daemon(Vm& vm) {
+  vm.daemon = std::make_unique<support::ChildProcess>(support::program_path("damaskthread_mesh"),
+                                                      std::vector<std::string>{"--settings", vm.settings_path},
+                                                      logs_ + "/" + vm.name + ".log" + std::to_string(++starts_));
+}
+
+void Fleet::kill_daemon(Vm& vm) {
+  vm.daemon->signal(SIGKILL);
+  (void)vm.daemon->wait(seconds(5));
+}
+
+void Fleet::publish() {
+  ++version_;
+  on_loop([&] { store_->operator_writes("config", configuration()); });
+}
+
+std::string Fleet::configuration() const {
+  Json services = Json::array();
+  Json hosts = Json::array();
+  for (const ServiceSpec& service : services_) {
+    services.push_back({{"name", service.name}, {"health_path", "/health"}, {"max_conns", 500}});
+    const std::string newest = "/v" + std::to_string(version_) + "/";
+    hosts.push_back({{"host", service.name + ".example"},
+                     {"paths", {path_entry(service, "/"), path_entry(service, newest)}}});
+  }
+  const Json limits = {{"header_bytes", 16384}, {"body_bytes", 1000000}, {"header", "3000ms"}, {"idle", "15000ms"}};
+  return Json{{"version", version_.load()}, {"services", services}, {"limits", limits}, {"virtual_hosts", hosts}}.dump();
+}
+
+Vm& Fleet::vm(const std::string& name) const {
+  const auto found = std::find_if(vms_.begin(), vms_.end(), [&name](const auto& vm) { return vm->name == name; });
+  if (found == vms_.end()) throw std::invalid_argument("no VM " + name);
+  return **found;
+}
+
+}  // namespace damaskthread::meshfleet
--- a/test/soak/proxy.cc
+++ b/test/meshfleet/proxy.cc
@@ -1,4 +1,4 @@
-#include "proxy.h"
+#include "meshfleet/proxy.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <string>
@@ -7,7 +7,7 @@
 
 #include "damaskthread/mesh/stream.h"
 
-namespace damaskthread::soak {
+namespace damaskthread::meshfleet {
 namespace {
 
 constexpr std::chrono::milliseconds kDelay{80};
@@ -106,4 +106,4 @@
   for (const auto& pair : std::vector<std::shared_ptr<Pair>>(pairs_.begin(), pairs_.end())) pair->close();
 }
 
-}  // namespace damaskthread::soak
+}  // namespace damaskthread::meshfleet
--- a/test/soak/proxy.h
+++ b/test/meshfleet/proxy.h
@@ -1,5 +1,5 @@
-#ifndef TEST_SOAK_PROXY_H_
-#define TEST_SOAK_PROXY_H_
+#ifndef TEST_MESHFLEET_PROXY_H_
+#define TEST_MESHFLEET_PROXY_H_
 
 /// @file
 /// @brief A loopback proxy in front of one daemon's peer port, which harms the connections through it.
@@ -10,7 +10,7 @@
 #include <memory>
 #include <set>
 
-namespace damaskthread::soak {
+namespace damaskthread::meshfleet {
 
 class Proxy {
  public:
@@ -34,6 +34,6 @@
   std::set<std::shared_ptr<Pair>> pairs_;
 };
 
-}  // namespace damaskthread::soak
+}  // namespace damaskthread::meshfleet
 
-#endif  // TEST_SOAK_PROXY_H_
+#endif  // TEST_MESHFLEET_PROXY_H_
--- a/test/soak/server.cc
+++ b/test/meshfleet/server.cc
@@ -1,11 +1,11 @@
-#include "server.h"
+#include "meshfleet/server.h"
 
 #include <boost/asio/post.hpp>
 #include <utility>
 
 #include "damaskthread/mesh/clock.h"
 
-namespace damaskthread::soak {
+namespace damaskthread::meshfleet {
 namespace {
 
 using std::chrono::milliseconds;
@@ -99,13 +99,19 @@
     request->answer({421, {{"X-Instance-Id", id_}}, ""});
     return;
   }
-  if (leave_acknowledged_ != Clock::time_point::max() && Clock::now() - leave_acknowledged_ > kDrain) {
+  if (leave_acknowledged() && Clock::now() - leave_acknowledged_ > kDrain) {
     ledger_.violations.push_back("attempt " + attempt + " reached " + id_ + " long after it said that it leaves");
   }
   if (http::find(headers, "X-Caller-Service").empty()) {
     ledger_.violations.push_back("attempt " + attempt + " names no calling service");
   }
   ++ledger_.runs[attempt];
+  if (request->request.target.find("poison") != std::string::npos) {
+    ++ledger_.poisoned;
+    // Not within the handler of the connection that ends.
+    boost::asio::post(io_, [this] { crash(); });
+    return;
+  }
   auto timer = std::make_shared<boost::asio::steady_timer>(io_);
   timer->expires_after(milliseconds(5 + random_() % 60));
   timer->async_wait([this, timer, request, attempt, life = life_](const boost::system::error_code& error) {
@@ -114,7 +120,7 @@
 }
 
 void Server::run(const std::shared_ptr<mesh::CallerRequest>& request, const std::string& attempt) {
-  if (callee_.empty()) return finish(request, attempt, 200);
+  if (callee_.empty()) return finish(request, attempt, status_);
   http::Request call;
   call.target = "/in/" + attempt;
   call.headers = {{"Host", callee_}, {"X-Attempt-Id", attempt + ".1"}, {"X-Deadline-Ms", "1000"}};
@@ -124,7 +130,7 @@
   connection->send(call, [this, connection, request, attempt, life = life_](const mesh::ExchangeResult& exchange) {
     boost::asio::post(io_, [this, connection] { calls_.erase(connection); });
     if (life != life_ || listener_ == nullptr) return;
-    finish(request, attempt, exchange.response.status == 200 ? 200 : 500);
+    finish(request, attempt, exchange.response.status == 200 ? status_ : 500);
   });
 }
 
@@ -134,4 +140,4 @@
   request->answer(response);
 }
 
-}  // namespace damaskthread::soak
+}  // namespace damaskthread::meshfleet
--- a/test/soak/server.h
+++ b/test/meshfleet/server.h
@@ -1,5 +1,5 @@
-#ifndef TEST_SOAK_SERVER_H_
-#define TEST_SOAK_SERVER_H_
+#ifndef TEST_MESHFLEET_SERVER_H_
+#define TEST_MESHFLEET_SERVER_H_
 
 /// @file
 /// @brief Stand-in for a backend server: heartbeats, runs, calls onward, crashes and leaves.
@@ -18,7 +18,7 @@
 #include "damaskthread/mesh/http_connection.h"
 #include "damaskthread/mesh/http_listener.h"
 
-namespace damaskthread::soak {
+namespace damaskthread::meshfleet {
 
 using Clock = std::chrono::steady_clock;
 
@@ -26,6 +26,8 @@
 struct Ledger {
   /// Runs of each attempt.
   std::map<std::string, int> runs;
+  /// Crashes of servers by a request whose path contains "poison".
+  int poisoned = 0;
   std::vector<std::string> violations;
 };
 
@@ -49,6 +51,10 @@
   /// @brief Says that it leaves; it is gone some time after the acknowledgement.
   void leave();
   [[nodiscard]] bool running() const noexcept { return listener_ != nullptr; }
+  /// @return Whether the daemon acknowledged that the server leaves.
+  [[nodiscard]] bool leave_acknowledged() const noexcept { return leave_acknowledged_ != Clock::time_point::max(); }
+  /// @brief From now on every run ends with this status.
+  void set_status(int status) noexcept { status_ = status; }
 
   /// @brief The body that answers an attempt.
   [[nodiscard]] static std::string body_of(const std::string& attempt_id);
@@ -75,10 +81,11 @@
   std::int64_t sequence_ = 0;
   std::int64_t born_ = 0;
   bool leaving_ = false;
+  int status_ = 200;
   /// When the daemon acknowledged that the server leaves.
   Clock::time_point leave_acknowledged_ = Clock::time_point::max();
 };
 
-}  // namespace damaskthread::soak
+}  // namespace damaskthread::meshfleet
 
-#endif  // TEST_SOAK_SERVER_H_
+#endif  // TEST_MESHFLEET_SERVER_H_
--- a/test/soak/store.cc
+++ b/test/meshfleet/store.cc
@@ -1,4 +1,4 @@
-#include "store.h"
+#include "meshfleet/store.h"
 
 #include <sodium.h>
 
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-namespace damaskthread::soak {
+namespace damaskthread::meshfleet {
 namespace {
 
 using Json = nlohmann::json;
@@ -53,6 +53,7 @@
 }
 
 void Store::handle(const std::shared_ptr<mesh::CallerRequest>& request) {
+  ++calls_;
   const std::string& target = request->request.target;
   if (fault_ == Fault::kRefuse) return request->answer({503, {}, ""});
   if (fault_ == Fault::kSilent) {
@@ -133,4 +134,4 @@
   if (fault_ == Fault::kNone) unanswered_.clear();
 }
 
-}  // namespace damaskthread::soak
+}  // namespace damaskthread::meshfleet
--- a/test/soak/store.h
+++ b/test/meshfleet/store.h
@@ -1,5 +1,5 @@
-#ifndef TEST_SOAK_STORE_H_
-#define TEST_SOAK_STORE_H_
+#ifndef TEST_MESHFLEET_STORE_H_
+#define TEST_MESHFLEET_STORE_H_
 
 /// @file
 /// @brief Stand-in for the platform's store: keyed topics, a long poll, and faults.
@@ -15,7 +15,7 @@
 
 #include "damaskthread/mesh/http_listener.h"
 
-namespace damaskthread::soak {
+namespace damaskthread::meshfleet {
 
 class Store {
  public:
@@ -26,6 +26,8 @@
   void set_fault(Fault fault) { fault_ = fault; }
   /// @brief Drops all records but the newest of each key.
   void forget_history();
+  /// @return Calls taken so far, answered or not.
+  [[nodiscard]] int calls() const noexcept { return calls_; }
   /// @brief Writes as the operator does, whatever fault there is.
   void operator_writes(const std::string& key, const std::string& value);
 
@@ -58,8 +60,9 @@
   std::vector<Waiting> waiting_;
   std::vector<std::shared_ptr<mesh::CallerRequest>> unanswered_;
   Fault fault_ = Fault::kNone;
+  int calls_ = 0;
 };
 
-}  // namespace damaskthread::soak
+}  // namespace damaskthread::meshfleet
 
-#endif  // TEST_SOAK_STORE_H_
+#endif  // TEST_MESHFLEET_STORE_H_
