Do not repeat runs that failed for capacity below; send pulses; let few daemons watch the store closely

A server's 500 was replaced by a 502 when the repeat was refused. The log line of a refused request did not name the service that was full. An accept that failed for want of descriptors was repeated without a pause.

Changes: a result says whether a call of the run was turned away for lack of capacity; such a run is not repeated and does not count against its server. A pulse (version and load) replaces the status unless something else changed. Only the four first daemons in the order of their addresses poll with a short wait; the others wait as long as the platform allows and begin anew when another daemon knew of a change first. Crash news is sent to daemons that connect. A failure that a server answered is passed on. Request lines carry let_in and limited_by. One acceptor with a pause after errors for both listeners.

--- a/src/damaskthread/entrance/throttle.cc
+++ b/src/damaskthread/entrance/throttle.cc
@@ -74,13 +74,15 @@
   return state.share;
 }
 
-double Throttle::admitted_share(std::span<const std::string> needed, int rank) const {
-  double least = 1;
+Throttle::Limit Throttle::limit(std::span<const std::string> needed, int rank) const {
+  Limit limit;
   for (const std::string& service : needed) {
     const auto found = services_.find(service);
-    if (found != services_.end()) least = std::min(least, share_of_rank(found->second, rank));
+    if (found == services_.end()) continue;
+    const double share = share_of_rank(found->second, rank);
+    if (share < limit.share) limit = {share, service};
   }
-  return least;
+  return limit;
 }
 
 }  // namespace damaskthread::entrance
--- a/src/damaskthread/entrance/throttle.h
+++ b/src/damaskthread/entrance/throttle.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include "damaskthread/core/types.h"
@@ -50,10 +51,17 @@
   /// @param elapsed Time since the last call for this service.
   void observe(const std::string& service, const gate::Load& total, core::Duration elapsed);
 
-  /// @brief Share of the new requests of a rank that is let in.
-  /// @param needed Services that the request needs.
+  /// What limits a kind of request.
+  struct Limit {
+    /// Share of its new requests that is let in.
+    double share = 1;
+    /// The service that limits it; empty if none does.
+    std::string_view service;
+  };
+  /// @brief Limit of the new requests of a rank.
+  /// @param needed Services that the request needs; the result refers to one of them.
   /// @param rank Its rank, 0 is the most important.
-  [[nodiscard]] double admitted_share(std::span<const std::string> needed, int rank) const;
+  [[nodiscard]] Limit limit(std::span<const std::string> needed, int rank) const;
 
   /// @brief Counts a new request.
   /// @param share The share of its kind that was let in; the mean of it is steadier than counting who was let in.
--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -41,7 +41,9 @@
 
 constexpr milliseconds kTickInterval{25};
 constexpr core::Duration kSweepInterval = milliseconds{250};
-constexpr core::Duration kStatusInterval = milliseconds{400};
+constexpr core::Duration kPulseInterval = milliseconds{400};
+// Kinds of calls are forgotten by other daemons when they are not told again for longer than this.
+constexpr core::Duration kStatusInterval = seconds{15};
 constexpr core::Duration kLoadInterval = seconds{2};
 constexpr core::Duration kSettingsInterval = seconds{1};
 // A daemon that lags behind in its configuration is sent the newest one after this time: it usually reads it itself.
@@ -52,12 +54,16 @@
 constexpr core::Duration kLastAccept = milliseconds{3200};
 // Left of the grace when requests that are still under way are given up.
 constexpr core::Duration kGraceReserve = milliseconds{400};
+// So many daemons watch the store closely: enough that a few with dead connections or without power do not matter.
+constexpr int kCloseWatchers = 4;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr int kBadRequest = 400;
 // Descriptors kept for files, listeners and connections to servers and daemons.
 constexpr std::size_t kReservedDescriptors = 1200;
 
+constexpr std::string_view kFromPeer = "peer";
+
 core::Incarnation new_incarnation() {
   const auto wall = std::chrono::system_clock::now().time_since_epoch();
   const auto millis = static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(wall).count());
@@ -141,9 +147,13 @@
       for (const auto& [caller, callee] : status.calls) graph.saw(caller, callee, false, now());
       offer_configuration(endpoint, status.configuration_version);
     };
+    hooks.pulse = [this](const std::string& endpoint, const peer::Pulse& pulse) {
+      pool.heard_load(endpoint, pulse.load);
+      offer_configuration(endpoint, pulse.configuration_version);
+    };
     hooks.reachable = [this](const std::string& endpoint, bool reachable) { pool.set_reachable(endpoint, reachable); };
     hooks.forgotten = [this](const std::string& endpoint) { pool.remove(endpoint); };
-    hooks.configuration = [this](const peer::Configuration& offered) { adopt(offered.document, "peer"); };
+    hooks.configuration = [this](const peer::Configuration& offered) { adopt(offered.document, kFromPeer); };
     hooks.crash = [this](const peer::Crash& crash) { (void)tally.add(crash.report, now()); };
     return hooks;
   }
@@ -152,11 +162,12 @@
     PeerListener::Hooks hooks;
     hooks.greeting = [this] { return fleet.greeting(); };
     hooks.status = [this] { return status(); };
+    hooks.crashes = [this] { return tally.recent(now()); };
     hooks.greeted = [this](const peer::Hello& hello) {
       fleet.learn(hello.self);
       for (const peer::Member& member : hello.members) fleet.learn(member);
     };
-    hooks.configuration = [this](const peer::Configuration& offered) { adopt(offered.document, "peer"); };
+    hooks.configuration = [this](const peer::Configuration& offered) { adopt(offered.document, kFromPeer); };
     hooks.crash = [this](const peer::Crash& crash) { (void)tally.add(crash.report, now()); };
     return hooks;
   }
@@ -207,7 +218,8 @@
              {{"version", static_cast<std::int64_t>(table->version())},
               {"source", source},
               {"routes", static_cast<std::int64_t>(table->routes().size())}});
-    status_due = now();
+    tell_others(now());
+    if (source == kFromPeer) store.restart_watch();
   }
 
   // A daemon that cannot read the store hears of a configuration from those that use its server.
@@ -253,8 +265,19 @@
       store.put_member(self, member_value(settings.zone, left_server));
     }
     refresh_own_entry();
-    peers.broadcast(status());
-    status_due = now() + kStatusInterval;
+    tell_others(now());
+  }
+
+  void tell_others(core::TimePoint time) {
+    pulse_due = time + kPulseInterval;
+    peer::Status present = status();
+    if (present.same_but_load(told) && time < status_due) {
+      peers.broadcast(peer::Pulse{present.configuration_version, present.load});
+      return;
+    }
+    status_due = time + kStatusInterval;
+    peers.broadcast(present);
+    told = std::move(present);
   }
 
   void refresh_own_entry() {
@@ -394,6 +417,7 @@
     const core::TimePoint time = now();
     refresh_own_entry();
     fleet.tick(time);
+    store.watch_closely(ingress.table() == nullptr || fleet.rank() < kCloseWatchers);
     gate.tick(time);
     ingress.tick(time);
     if (time >= sweep_due) {
@@ -404,10 +428,7 @@
       if (admin) admin->sweep(time);
       tally.tick(time);
     }
-    if (time >= status_due) {
-      status_due = time + kStatusInterval;
-      peers.broadcast(status());
-    }
+    if (time >= pulse_due) tell_others(time);
     if (time >= load_due) {
       load_due = time + kLoadInterval;
       log_load();
@@ -456,7 +477,10 @@
   bool stopping = false;
   core::TimePoint stop_begun;
   core::TimePoint sweep_due;
+  core::TimePoint pulse_due;
   core::TimePoint status_due;
+  /// What the other daemons were told last.
+  peer::Status told;
   core::TimePoint settings_due;
   core::TimePoint load_due;
   DaemonEnd end = DaemonEnd::kFinished;
--- a/src/damaskthread/mesh/fleet.cc
+++ b/src/damaskthread/mesh/fleet.cc
@@ -24,6 +24,7 @@
   link_hooks_.status = [this](PeerLink& link, const peer::Status& status) {
     hooks_.status(link.endpoint(), link.zone() == self_.zone, status);
   };
+  link_hooks_.pulse = [this](PeerLink& link, const peer::Pulse& pulse) { hooks_.pulse(link.endpoint(), pulse); };
   link_hooks_.reachable_changed = [this](PeerLink& link) {
     log_.line(LineClass::kBelief, "peer",
               {{"peer", link.endpoint()},
@@ -59,6 +60,11 @@
   return found == links_.end() ? nullptr : found->second.get();
 }
 
+int Fleet::rank() const {
+  return static_cast<int>(std::count_if(links_.begin(), links_.lower_bound(self_.endpoint),
+                                        [](const auto& entry) { return entry.second->reachable(); }));
+}
+
 void Fleet::tick(core::TimePoint now) {
   std::vector<std::shared_ptr<PeerLink>> present;
   present.reserve(links_.size());
--- a/src/damaskthread/mesh/fleet.h
+++ b/src/damaskthread/mesh/fleet.h
@@ -24,6 +24,7 @@
  public:
   struct Hooks {
     std::function<void(const std::string& endpoint, bool near, const peer::Status&)> status;
+    std::function<void(const std::string& endpoint, const peer::Pulse&)> pulse;
     std::function<void(const std::string& endpoint, bool reachable)> reachable;
     std::function<void(const std::string& endpoint)> forgotten;
     std::function<void(const peer::Configuration&)> configuration;
@@ -39,6 +40,8 @@
   [[nodiscard]] peer::Hello greeting() const;
   [[nodiscard]] PeerLink* link(const std::string& endpoint) const;
   [[nodiscard]] const std::map<std::string, std::shared_ptr<PeerLink>>& links() const noexcept { return links_; }
+  /// @brief How many daemons that can be reached come before this one in the order of their addresses.
+  [[nodiscard]] int rank() const;
   void tick(core::TimePoint now);
   void close();
 
--- a/src/damaskthread/mesh/gate_host.cc
+++ b/src/damaskthread/mesh/gate_host.cc
@@ -225,6 +225,7 @@
   }
   result.verdict = {core::Execution::kRan, core::Cause::kNone, core::Duration{0}};
   result.answered = true;
+  result.call_refused = run.call_refused && !success;
   result.response = std::move(exchange.response);
   http::remove_hop_by_hop(result.response.headers);
   return result;
@@ -257,6 +258,11 @@
   return Parent{execute.kind, execute.priority, execute.repeat};
 }
 
+void GateHost::note_refused_call(std::string_view attempt_id) {
+  const auto found = running_attempts_.find(attempt_id);
+  if (found != running_attempts_.end()) found->second->call_refused = true;
+}
+
 void GateHost::end(const RunPointer& run, peer::Result result) {
   runs_.erase(run->key);
   const auto running = running_attempts_.find(run->execute.attempt_id);
@@ -272,6 +278,7 @@
                {"cause", to_string(result.verdict.cause)},
                {"status", result.response.status},
                {"repeat", run->execute.repeat},
+               {"call_refused", result.call_refused},
                {"wait_ms",
                 std::chrono::duration<double, std::milli>((result.reached_server ? run->started : time) - run->arrived)
                     .count()},
@@ -290,11 +297,11 @@
   const RunPointer run = find(key);
   if (run == nullptr) return;
   run->reply = nullptr;
-  stop_run(run);
+  stop_run(run, core::Cause::kCancelled);
   advance(now());
 }
 
-void GateHost::stop_run(const RunPointer& run) {
+void GateHost::stop_run(const RunPointer& run, core::Cause cause) {
   std::erase(held_, run);
   for (const auto& [ticket, waiting] : tickets_) {
     if (waiting != run) continue;
@@ -303,14 +310,14 @@
     break;
   }
   if (!run->running) {
-    end(run, outcome(core::not_run(core::Cause::kCancelled), false));
+    end(run, outcome(core::not_run(cause), false));
     return;
   }
   run->running = false;
   if (run->connection != nullptr) run->connection->close();
   run->connection.reset();
   gate_.finish(run->execute.kind, core::Duration::zero());
-  end(run, outcome(core::may_have_run(core::Cause::kCancelled), true));
+  end(run, outcome(core::may_have_run(cause), true));
 }
 
 void GateHost::resume(RunKey key, bool idempotent, Reply reply) {
@@ -465,15 +472,15 @@
   apply_state(now);
   if (now >= hold_until_) advance(now);
   verify_server(now);
-  std::vector<RunPointer> over;
+  std::vector<std::pair<RunPointer, core::Cause>> over;
   for (const auto& [key, run] : runs_) {
     const bool expired = run->running && now > run->deadline + kDeadlineMargin;
     const bool abandoned =
         run->detached && now - run->detached_at > kDetachedGrace && (run->execute.idempotent || !run->running);
-    if (expired || abandoned) over.push_back(run);
+    if (expired || abandoned) over.emplace_back(run, expired ? core::Cause::kDeadline : core::Cause::kCancelled);
   }
-  for (const RunPointer& run : over) {
-    if (find(run->key) == run) stop_run(run);
+  for (const auto& [run, cause] : over) {
+    if (find(run->key) == run) stop_run(run, cause);
   }
   std::erase_if(ended_, [now](const auto& entry) { return entry.second.forget_at <= now; });
   connections_.sweep(now);
--- a/src/damaskthread/mesh/gate_host.h
+++ b/src/damaskthread/mesh/gate_host.h
@@ -86,6 +86,9 @@
   /// @brief The request that runs here under an attempt id.
   [[nodiscard]] std::optional<Parent> running_attempt(std::string_view attempt_id) const;
 
+  /// @brief Notes that a call of a running request was turned away for lack of capacity.
+  void note_refused_call(std::string_view attempt_id);
+
   [[nodiscard]] gate::ServerState server_state(core::TimePoint now) const { return life_.state(now); }
   [[nodiscard]] bool takes_requests(core::TimePoint now) const;
   [[nodiscard]] const gate::ServerLife& life() const noexcept { return life_; }
@@ -106,6 +109,8 @@
     bool running = false;
     bool detached = false;
     bool resent = false;
+    /// A call that it made was turned away for lack of capacity.
+    bool call_refused = false;
   };
   struct Ended {
     core::TimePoint forget_at;
@@ -121,7 +126,7 @@
   void note_load(const http::Response& response);
   void refuse(const RunPointer& run, core::Cause cause);
   void end(const RunPointer& run, peer::Result result);
-  void stop_run(const RunPointer& run);
+  void stop_run(const RunPointer& run, core::Cause cause);
   void apply_state(core::TimePoint now);
   void advance(core::TimePoint now);
   void note_loss(std::uint64_t fingerprint, core::TimePoint now);
--- a/src/damaskthread/mesh/http_listener.cc
+++ b/src/damaskthread/mesh/http_listener.cc
@@ -1,7 +1,6 @@
 #include "damaskthread/mesh/http_listener.h"
 
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 #include <utility>
 #include <vector>
@@ -12,9 +11,7 @@
 namespace {
 
 namespace asio = boost::asio;
-using boost::system::error_code;
 
-constexpr int kBacklog = 1024;
 // A caller that sends ahead while its request runs is held back beyond this.
 constexpr std::size_t kMaxWaitingBytes = std::size_t{64} << 10U;
 constexpr int kBadRequest = 400;
@@ -96,7 +93,7 @@
   stream_->resume();
   if (reader_.waiting_bytes() == 0 && early_bytes_.empty()) return;
   // Not from within the handler of the request that was just answered.
-  boost::asio::post(listener_.acceptor_.get_executor(), [self = shared_from_this()] {
+  asio::post(listener_.io_, [self = shared_from_this()] {
     if (self->current_ != nullptr || !self->stream_->open()) return;
     self->handle(self->reader_.add(std::exchange(self->early_bytes_, {})));
   });
@@ -135,27 +132,18 @@
 
 HttpListener::HttpListener(asio::io_context& io, const http::Endpoint& endpoint, std::size_t max_sessions,
                            RequestHandler handler)
-    : acceptor_(io), max_sessions_(max_sessions), handler_(std::move(handler)) {
-  const asio::ip::tcp::endpoint address(asio::ip::make_address(endpoint.host), endpoint.port);
-  acceptor_.open(address.protocol());
-  acceptor_.set_option(asio::socket_base::reuse_address(true));
-  acceptor_.bind(address);
-  acceptor_.listen(kBacklog);
-  accept();
-}
+    : io_(io),
+      max_sessions_(max_sessions),
+      handler_(std::move(handler)),
+      acceptor_(io, endpoint, [this](Stream::Socket socket) { take(std::move(socket)); }) {}
 
 HttpListener::~HttpListener() { close(); }
 
-void HttpListener::accept() {
-  acceptor_.async_accept([this](const error_code& error, Stream::Socket socket) {
-    if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
-    if (!error && sessions_.size() < max_sessions_) {
-      const auto session = std::make_shared<Session>(*this, std::move(socket));
-      sessions_.insert(session);
-      session->start();
-    }
-    accept();
-  });
+void HttpListener::take(Stream::Socket socket) {
+  if (sessions_.size() >= max_sessions_) return;
+  const auto session = std::make_shared<Session>(*this, std::move(socket));
+  sessions_.insert(session);
+  session->start();
 }
 
 void HttpListener::sweep(core::TimePoint now) {
@@ -164,15 +152,13 @@
 }
 
 void HttpListener::close() {
-  error_code ignored;
-  acceptor_.close(ignored);
+  acceptor_.close();
   const std::vector<std::shared_ptr<Session>> sessions(sessions_.begin(), sessions_.end());
   for (const auto& session : sessions) session->drop();
 }
 
 void HttpListener::stop_accepting() {
-  error_code ignored;
-  acceptor_.close(ignored);
+  acceptor_.close();
   const std::vector<std::shared_ptr<Session>> sessions(sessions_.begin(), sessions_.end());
   for (const auto& session : sessions) {
     if (session->idle()) session->drop();
--- a/src/damaskthread/mesh/http_listener.h
+++ b/src/damaskthread/mesh/http_listener.h
@@ -5,8 +5,8 @@
 /// @brief Takes HTTP requests of callers and answers each exactly once.
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -14,6 +14,7 @@
 
 #include "damaskthread/core/types.h"
 #include "damaskthread/http/message.h"
+#include "damaskthread/mesh/acceptor.h"
 #include "damaskthread/mesh/http_codec.h"
 #include "damaskthread/mesh/stream.h"
 #include "damaskthread/route/route_table.h"
@@ -95,17 +96,20 @@
   void close();
   /// @return Connections on which a request is being read or answered.
   [[nodiscard]] std::size_t busy_sessions() const;
+  /// @return The port that is listened at.
+  [[nodiscard]] std::uint16_t port() const { return acceptor_.port(); }
 
  private:
   friend class Session;
-  void accept();
+  void take(Stream::Socket socket);
 
-  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::io_context& io_;
   std::size_t max_sessions_;
   RequestHandler handler_;
   route::CallerBounds bounds_;
   bool draining_ = false;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
+  Acceptor acceptor_;
 };
 
 }  // namespace damaskthread::mesh
--- a/src/damaskthread/mesh/ingress.h
+++ b/src/damaskthread/mesh/ingress.h
@@ -69,6 +69,10 @@
     std::string attempt_id;
     /// A run at the local server made this call.
     bool inner = false;
+    /// Attempt id of that run.
+    std::string parent_id;
+    /// A server failed it since a call of the run was turned away for lack of capacity.
+    bool call_refused = false;
     /// Rank of the request from outside that this one belongs to.
     int priority = 0;
     /// The run that made this call was itself a repeat.
@@ -91,7 +95,11 @@
     /// It may have run at a server whose answer is lost.
     bool may_have_run = false;
     core::Cause last_cause = core::Cause::kNone;
-    core::TimePoint placed_at;
+    /// A failure that a server answered; passed on when no other server answers.
+    std::optional<http::Response> failure;
+    /// Share of its kind that was let in when it came, and the service that limited it.
+    double let_in = 1;
+    std::string limited_by;
   };
   using ExchangePointer = std::shared_ptr<Exchange>;
 
@@ -100,7 +108,7 @@
   /// Finds the running request that made a call, and takes over what the call inherits.
   void note_parent(Exchange& exchange, core::TimePoint now);
   /// Decides on a new request and counts it.
-  [[nodiscard]] bool admitted(const Exchange& exchange, core::TimePoint now);
+  [[nodiscard]] bool admitted(Exchange& exchange, core::TimePoint now);
   [[nodiscard]] std::optional<std::string> choose(const Exchange& exchange, core::TimePoint now);
   void place(const ExchangePointer& exchange, core::TimePoint now);
   void hand_over(const ExchangePointer& exchange, const std::string& endpoint, core::TimePoint now);
@@ -108,7 +116,9 @@
   void on_interrupted(const ExchangePointer& exchange, std::uint64_t stream);
   void take_step(const ExchangePointer& exchange, const peer::Result& result, core::TimePoint now);
   void withdraw(Exchange& exchange);
-  void pass_on(const ExchangePointer& exchange, const peer::Result& result);
+  void pass_on(const ExchangePointer& exchange, const http::Response& response);
+  /// Ends a request that no server will answer any more, with what is true of it.
+  void give_up(const ExchangePointer& exchange, core::Cause cause);
   void refuse(const ExchangePointer& exchange, core::Cause cause);
   void fail(const ExchangePointer& exchange, int status, core::Cause cause);
   void finish(const ExchangePointer& exchange, http::Response response, std::string_view outcome, core::Cause cause);
--- a/src/damaskthread/mesh/peer_link.cc
+++ b/src/damaskthread/mesh/peer_link.cc
@@ -18,7 +18,7 @@
 constexpr StreamTimings kPeerTimings{milliseconds{700}, seconds{2}};
 constexpr core::Duration kFirstBackoff = milliseconds{100};
 constexpr core::Duration kMaxBackoff = seconds{2};
-// Two status messages and a half: a daemon that misses so many is passed over.
+// Two pulses and a half: a daemon that misses so many is passed over.
 constexpr core::Duration kSilence = milliseconds{1000};
 // A connection silent for this long is dialled anew: it may be dead although the daemon is not.
 constexpr core::Duration kDeadConnection = milliseconds{2000};
@@ -124,6 +124,11 @@
     hooks_.status(*this, status_);
     return;
   }
+  if (const auto* pulse = std::get_if<peer::Pulse>(&message)) {
+    status_.configuration_version = pulse->configuration_version;
+    status_.load = pulse->load;
+    return hooks_.pulse(*this, *pulse);
+  }
   if (const auto* configuration = std::get_if<peer::Configuration>(&message)) {
     return hooks_.configuration(*configuration);
   }
--- a/src/damaskthread/mesh/peer_link.h
+++ b/src/damaskthread/mesh/peer_link.h
@@ -34,6 +34,7 @@
   struct Hooks {
     std::function<void(PeerLink&, const peer::Hello&)> greeted;
     std::function<void(PeerLink&, const peer::Status&)> status;
+    std::function<void(PeerLink&, const peer::Pulse&)> pulse;
     std::function<void(const peer::Configuration&)> configuration;
     std::function<void(const peer::Crash&)> crash;
     /// The daemon became reachable or ceased to be so.
--- a/src/damaskthread/mesh/peer_listener.cc
+++ b/src/damaskthread/mesh/peer_listener.cc
@@ -1,10 +1,10 @@
 #include "damaskthread/mesh/peer_listener.h"
 
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -15,9 +15,7 @@
 namespace {
 
 namespace asio = boost::asio;
-using boost::system::error_code;
 
-constexpr int kBacklog = 1024;
 constexpr StreamTimings kGuestTimings{std::chrono::milliseconds{700}, std::chrono::seconds{2}};
 
 }  // namespace
@@ -32,14 +30,17 @@
     stream_->start(this);
     send(owner_.hooks_.greeting());
     send(owner_.hooks_.status());
+    for (const quarantine::CrashReport& report : owner_.hooks_.crashes()) send(peer::Crash{report});
   }
 
   void send(const peer::Message& message) {
     std::string bytes;
     peer::append_frame(bytes, message);
-    stream_->write(bytes);
+    write(bytes);
   }
 
+  void write(std::string_view bytes) { stream_->write(bytes); }
+
   void on_bytes(std::string_view bytes) override {
     const auto self = shared_from_this();
     reader_.add(bytes);
@@ -104,27 +105,16 @@
 };
 
 PeerListener::PeerListener(asio::io_context& io, const http::Endpoint& endpoint, GateHost& gate, Hooks hooks)
-    : acceptor_(io), gate_(gate), hooks_(std::move(hooks)) {
-  const asio::ip::tcp::endpoint address(asio::ip::make_address(endpoint.host), endpoint.port);
-  acceptor_.open(address.protocol());
-  acceptor_.set_option(asio::socket_base::reuse_address(true));
-  acceptor_.bind(address);
-  acceptor_.listen(kBacklog);
-  accept();
-}
+    : gate_(gate),
+      hooks_(std::move(hooks)),
+      acceptor_(io, endpoint, [this](Stream::Socket socket) { take(std::move(socket)); }) {}
 
 PeerListener::~PeerListener() { close(); }
 
-void PeerListener::accept() {
-  acceptor_.async_accept([this](const error_code& error, Stream::Socket socket) {
-    if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
-    if (!error) {
-      const auto guest = std::make_shared<Guest>(*this, std::move(socket));
-      guests_.insert(guest);
-      guest->start();
-    }
-    accept();
-  });
+void PeerListener::take(Stream::Socket socket) {
+  const auto guest = std::make_shared<Guest>(*this, std::move(socket));
+  guests_.insert(guest);
+  guest->start();
 }
 
 bool PeerListener::replaced(const Guest& guest) const {
@@ -133,12 +123,13 @@
 }
 
 void PeerListener::broadcast(const peer::Message& message) {
-  for (const auto& guest : guests_) guest->send(message);
+  std::string bytes;
+  peer::append_frame(bytes, message);
+  for (const auto& guest : guests_) guest->write(bytes);
 }
 
 void PeerListener::close() {
-  error_code ignored;
-  acceptor_.close(ignored);
+  acceptor_.close();
   const std::vector<std::shared_ptr<Guest>> guests(guests_.begin(), guests_.end());
   for (const auto& guest : guests) guest->drop();
 }
--- a/src/damaskthread/mesh/peer_listener.h
+++ b/src/damaskthread/mesh/peer_listener.h
@@ -5,17 +5,18 @@
 /// @brief Takes the connections of other daemons that use the server beside this one.
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
-#include <string_view>
 #include <unordered_set>
+#include <vector>
 
 #include "damaskthread/core/types.h"
+#include "damaskthread/mesh/acceptor.h"
 #include "damaskthread/mesh/gate_host.h"
 #include "damaskthread/mesh/stream.h"
 #include "damaskthread/peer/frame.h"
 #include "damaskthread/peer/message.h"
+#include "damaskthread/quarantine/crash_tally.h"
 
 namespace damaskthread::mesh {
 
@@ -25,6 +26,8 @@
     /// Makes the first message to a daemon that connects.
     std::function<peer::Hello()> greeting;
     std::function<peer::Status()> status;
+    /// Crashes that a daemon which has just started has to know.
+    std::function<std::vector<quarantine::CrashReport>()> crashes;
     std::function<void(const peer::Hello&)> greeted;
     std::function<void(const peer::Configuration&)> configuration;
     std::function<void(const peer::Crash&)> crash;
@@ -40,14 +43,14 @@
  private:
   class Guest;
 
-  void accept();
+  void take(Stream::Socket socket);
   /// Whether the daemon at the other end has opened another connection since.
   [[nodiscard]] bool replaced(const Guest& guest) const;
 
-  boost::asio::ip::tcp::acceptor acceptor_;
   GateHost& gate_;
   Hooks hooks_;
   std::unordered_set<std::shared_ptr<Guest>> guests_;
+  Acceptor acceptor_;
 };
 
 }  // namespace damaskthread::mesh
--- a/src/damaskthread/mesh/store_client.cc
+++ b/src/damaskthread/mesh/store_client.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
 #include <optional>
+#include <random>
 #include <utility>
 
 #include "damaskthread/core/error.h"
@@ -16,11 +17,15 @@
 
 constexpr StreamTimings kStoreTimings{milliseconds{800}, seconds{2}};
 constexpr core::Duration kFirstPause = milliseconds{100};
-// A change of configuration has to be in force within seconds of the store's return.
-constexpr core::Duration kMaxPause = milliseconds{800};
-// A connection to the store can die without a sign. The wait bounds how long that stays unnoticed; each turn is a call
-// that costs.
-constexpr milliseconds kWatchWait{4000};
+constexpr double kLeastPauseShare = 0.6;
+// A change of configuration has to be in force within seconds of the store's return, for which the daemons that watch
+// closely and those without a configuration keep trying. The others bound the calls that a store in trouble gets.
+constexpr core::Duration kClosePause = milliseconds{800};
+constexpr core::Duration kLongPause = milliseconds{2400};
+// A connection to the store can die without a sign. The close wait bounds how long that stays unnoticed; each turn is a
+// call that costs. The long one is what the platform allows, less a margin.
+constexpr milliseconds kCloseWait{4000};
+constexpr milliseconds kLongWait{28'000};
 constexpr core::Duration kWatchMargin = milliseconds{1000};
 constexpr core::Duration kCallLimit = milliseconds{1500};
 // New daemons connect to those that are listed, so that the list has to be read again only for what both sides missed.
@@ -47,7 +52,7 @@
 }  // namespace
 
 StoreCall::StoreCall(boost::asio::io_context& io, http::Endpoint endpoint)
-    : io_(io), endpoint_(std::move(endpoint)), timer_(io), pause_(kFirstPause) {}
+    : io_(io), endpoint_(std::move(endpoint)), timer_(io), pause_(kFirstPause), random_(std::random_device{}()) {}
 
 StoreCall::~StoreCall() { close(); }
 
@@ -73,9 +78,11 @@
   });
 }
 
-void StoreCall::after_failure(std::function<void()> next) {
-  const core::Duration pause = pause_;
-  pause_ = std::min(2 * pause_, kMaxPause);
+void StoreCall::after_failure(core::Duration longest, std::function<void()> next) {
+  // Daemons that failed together do not come back together.
+  const auto pause = std::chrono::duration_cast<core::Duration>(
+      pause_ * std::uniform_real_distribution<double>(kLeastPauseShare, 1)(random_));
+  pause_ = std::min(2 * pause_, longest);
   after(pause, std::move(next));
 }
 
@@ -108,6 +115,19 @@
   read_members("", {});
 }
 
+core::Duration StoreClient::longest_pause() const noexcept { return watch_closely_ ? kClosePause : kLongPause; }
+
+void StoreClient::watch_closely(bool closely) {
+  if (closely == watch_closely_) return;
+  watch_closely_ = closely;
+  if (closely && long_watch_) restart_watch();
+}
+
+void StoreClient::restart_watch() {
+  watch_.close();
+  read_configuration();
+}
+
 void StoreClient::note_reachable(bool reachable, int status) {
   if (reachable == reachable_) return;
   reachable_ = reachable;
@@ -121,13 +141,14 @@
 }
 
 void StoreClient::read_configuration() {
+  long_watch_ = false;
   watch_.call(adapter_.newest(Topic::kConfiguration, ""), kCallLimit, [this](const http::Response& response) {
     note_reachable(response.status != 0, response.status);
     const auto page = response.status == kOk
                           ? value_or_log(adapter_.read_newest(response), log_, "newest configuration")
                           : std::nullopt;
     if (!page) {
-      watch_.after_failure([this] { read_configuration(); });
+      watch_.after_failure(longest_pause(), [this] { read_configuration(); });
       return;
     }
     watch_.succeeded();
@@ -138,13 +159,15 @@
 }
 
 void StoreClient::watch_configuration() {
-  watch_.call(adapter_.changes(Topic::kConfiguration, next_offset_, kWatchWait), kWatchWait + kWatchMargin,
+  long_watch_ = !watch_closely_;
+  const milliseconds wait = long_watch_ ? kLongWait : kCloseWait;
+  watch_.call(adapter_.changes(Topic::kConfiguration, next_offset_, wait), wait + kWatchMargin,
               [this](const http::Response& response) {
                 note_reachable(response.status != 0, response.status);
                 const auto changes = value_or_log(adapter_.read_changes(response, next_offset_), log_, "configuration");
                 if (!changes || changes->truncated) {
                   // What was missed is in the newest records.
-                  watch_.after_failure([this] { read_configuration(); });
+                  watch_.after_failure(longest_pause(), [this] { read_configuration(); });
                   return;
                 }
                 watch_.succeeded();
@@ -163,7 +186,7 @@
                                         ? value_or_log(adapter_.read_newest(response), log_, "members")
                                         : std::nullopt;
                   if (!page) {
-                    members_.after_failure([this] { read_members("", {}); });
+                    members_.after_failure(longest_pause(), [this] { read_members("", {}); });
                     return;
                   }
                   members_.succeeded();
@@ -194,7 +217,7 @@
   writes_.call(adapter_.put(Topic::kMembers, member_key_, member_value_), kCallLimit,
                [this](const http::Response& response) {
                  if (response.status != kOk) {
-                   writes_.after_failure([this] { write_member(); });
+                   writes_.after_failure(longest_pause(), [this] { write_member(); });
                    return;
                  }
                  writes_.succeeded();
--- a/src/damaskthread/mesh/store_client.h
+++ b/src/damaskthread/mesh/store_client.h
@@ -32,7 +32,8 @@
   /// @param done Called with the answer; status 0 says that there was none.
   void call(const http::Request& request, core::Duration limit, const Done& done);
   /// @brief Runs something after the pause that the last failures call for.
-  void after_failure(std::function<void()> next);
+  /// @param longest Bound of the pause.
+  void after_failure(core::Duration longest, std::function<void()> next);
   /// @brief Runs something after a time.
   void after(core::Duration pause, std::function<void()> next);
   void succeeded() noexcept;
@@ -44,6 +45,7 @@
   std::shared_ptr<HttpConnection> connection_;
   boost::asio::steady_timer timer_;
   core::Duration pause_;
+  core::Random random_;
 };
 
 /// @brief Watches the configuration and keeps this daemon's entry in the list of members.
@@ -59,6 +61,11 @@
               Hooks hooks);
 
   void start();
+  /// @brief Sets whether this daemon is one of the few that notice quickly when their connection to the store is dead.
+  /// The others hear of a change from them and make fewer calls. On until it is turned off.
+  void watch_closely(bool closely);
+  /// @brief Watches over a new connection, since another daemon knew of a change first.
+  void restart_watch();
   /// @brief Writes an entry of the list of members; a later call replaces one that is still under way.
   void put_member(const std::string& key, const std::string& value);
   void close();
@@ -70,6 +77,7 @@
   void read_members(const std::string& after, std::vector<KeyedRecord> so_far);
   void write_member();
   void note_reachable(bool reachable, int status);
+  [[nodiscard]] core::Duration longest_pause() const noexcept;
 
   const Adapter& adapter_;
   EventLog& log_;
@@ -80,6 +88,8 @@
   std::uint64_t next_offset_ = 0;
   std::string member_key_;
   std::string member_value_;
+  bool watch_closely_ = true;
+  bool long_watch_ = false;
   bool reading_members_ = false;
   bool writing_ = false;
   bool write_again_ = false;
--- a/src/damaskthread/peer/frame.cc
+++ b/src/damaskthread/peer/frame.cc
@@ -83,7 +83,7 @@
     return Json::array({2, result.stream, static_cast<int>(result.verdict.execution),
                         static_cast<int>(result.verdict.cause), to_ms(result.verdict.retry_after),
                         result.reached_server, result.answered, to_us(result.run_time), encode(result.load),
-                        result.response.status, encode(result.response.headers)});
+                        result.response.status, encode(result.response.headers), result.call_refused});
   }
   Json operator()(const Cancel& cancel) const { return Json::array({3, cancel.stream}); }
   Json operator()(const Resume& resume) const { return Json::array({4, resume.stream, resume.idempotent}); }
@@ -94,6 +94,9 @@
                         encode(status.load), std::move(calls)});
   }
   Json operator()(const Configuration& configuration) const { return Json::array({6, configuration.version}); }
+  Json operator()(const Pulse& pulse) const {
+    return Json::array({8, pulse.configuration_version, encode(pulse.load)});
+  }
   Json operator()(const Crash& crash) const { return Json::array({7, crash.report.crash, crash.report.running}); }
 };
 
@@ -146,6 +149,7 @@
   result.load = decode_load(fields.at(8));
   result.response.status = fields.at(9).get<int>();
   result.response.headers = decode_headers(fields.at(10));
+  result.call_refused = fields.at(11).get<bool>();
   result.response.body = std::move(body);
   return result;
 }
@@ -176,10 +180,14 @@
   return Crash{{fields.at(1).get<std::uint64_t>(), fields.at(2).get<std::vector<std::uint64_t>>()}};
 }
 
+Message decode_pulse(const Json& fields, std::string&& /*body*/) {
+  return Pulse{fields.at(1).get<std::uint64_t>(), decode_load(fields.at(2))};
+}
+
 using Decoder = Message (*)(const Json& fields, std::string&& body);
 constexpr std::array<Decoder, std::variant_size_v<Message>> kDecoders = {
-    decode_hello,  decode_execute, decode_result,        decode_cancel,
-    decode_resume, decode_status,  decode_configuration, decode_crash};
+    decode_hello,  decode_execute,       decode_result, decode_cancel, decode_resume,
+    decode_status, decode_configuration, decode_crash,  decode_pulse};
 
 boost::leaf::result<std::optional<Message>> malformed(const char* message) {
   return boost::leaf::new_error(core::Error{core::ErrorCode::kInvalidInput, "peer frame", message});
--- a/src/damaskthread/peer/message.h
+++ b/src/damaskthread/peer/message.h
@@ -20,7 +20,7 @@
 namespace damaskthread::peer {
 
 /// Version of these messages; a daemon drops a connection whose first message carries another one.
-inline constexpr std::uint64_t kProtocolVersion = 1;
+inline constexpr std::uint64_t kProtocolVersion = 2;
 
 /// A daemon as others know it.
 struct Member {
@@ -69,6 +69,8 @@
   bool reached_server = false;
   /// The response is the server's own; otherwise only the verdict counts.
   bool answered = false;
+  /// A call that the run made was turned away for lack of capacity, which is why the run failed.
+  bool call_refused = false;
   core::Duration run_time{0};
   gate::Load load;
   http::Response response;
@@ -85,7 +87,7 @@
   bool idempotent = false;
 };
 
-/// Tells what a daemon believes; sent at every change and at short intervals, and thereby the sign of life.
+/// Tells what a daemon believes; sent to a daemon that connects, at every change, and now and then.
 struct Status {
   std::uint64_t configuration_version = 0;
   /// Service of the server beside the daemon; empty if there is none.
@@ -95,6 +97,18 @@
   gate::Load load;
   /// Kinds of requests and kinds of calls that their runs were seen to make at its server.
   std::vector<std::pair<std::string, std::string>> calls;
+
+  /// @return Whether everything but the load is the same.
+  [[nodiscard]] bool same_but_load(const Status& other) const {
+    return configuration_version == other.configuration_version && service == other.service &&
+           server_id == other.server_id && ready == other.ready && calls == other.calls;
+  }
+};
+
+/// Sign of life at short intervals, when nothing but the load has changed.
+struct Pulse {
+  std::uint64_t configuration_version = 0;
+  gate::Load load;
 };
 
 /// A configuration as the operator wrote it, for a daemon that has an older one.
@@ -108,7 +122,7 @@
   quarantine::CrashReport report;
 };
 
-using Message = std::variant<Hello, Execute, Result, Cancel, Resume, Status, Configuration, Crash>;
+using Message = std::variant<Hello, Execute, Result, Cancel, Resume, Status, Configuration, Crash, Pulse>;
 
 }  // namespace damaskthread::peer
 
--- a/src/damaskthread/retry/next_step.cc
+++ b/src/damaskthread/retry/next_step.cc
@@ -31,7 +31,7 @@
 
 NextStep next_step(const PlacementFacts& facts) noexcept {
   if (facts.answered) {
-    const bool failed = facts.status == kServerFailure && facts.idempotent;
+    const bool failed = facts.status == kServerFailure && facts.idempotent && !facts.call_refused;
     return failed && worth_another_run(facts) ? NextStep::kPlaceAgain : NextStep::kPassOn;
   }
   if (facts.verdict.execution != core::Execution::kNotRun) {
--- a/src/damaskthread/retry/next_step.h
+++ b/src/damaskthread/retry/next_step.h
@@ -19,6 +19,8 @@
   /// The server answered; `status` is its answer.
   bool answered = false;
   int status = 0;
+  /// The server failed it since a call of its run was turned away for lack of capacity.
+  bool call_refused = false;
   /// Different servers that the request was handed to, including this one.
   int servers_reached = 0;
   /// Times that it was handed to a server.
@@ -51,7 +53,8 @@
 /// lost answer (an idempotent request runs again while that is in time), a server that fails requests although its
 /// health looks good, servers that turn part of their requests away at random (the request is sent once more within the
 /// servers that it may use, as long as the budget of repeats allows), an overload (nothing runs twice; the caller is
-/// told at once).
+/// told at once), a lack of capacity deep in the tree (a run that failed for it is not repeated: the call was repeated
+/// where it was turned away, and another run would make all of its calls again, as repeats, for the same capacity).
 [[nodiscard]] NextStep next_step(const PlacementFacts& facts) noexcept;
 
 }  // namespace damaskthread::retry
--- a/test/damaskthread/mesh/gate_host_test.cc
+++ b/test/damaskthread/mesh/gate_host_test.cc
@@ -313,4 +313,19 @@
   CHECK(bench.result_of(Bench::request(2)).verdict == core::not_run(core::Cause::kQuarantined));
 }
 
+TEST_CASE("a failure says whether a call of the run was turned away for lack of capacity") {
+  for (const bool refused : {true, false}) {
+    Bench bench;
+    bench.server.script = [&](const http::Request& request, ScriptedServer::Connection& connection) {
+      if (refused) bench.gate.note_refused_call(http::find(request.headers, "Attempt"));
+      std::string failure = answer(request, "failed");
+      connection.write(failure.replace(failure.find("200 OK"), 6, "500 No"));
+    };
+    const peer::Result result = bench.result_of(Bench::request(1, true));
+    CHECK(result.answered);
+    CHECK(result.response.status == 500);
+    CHECK(result.call_refused == refused);
+  }
+}
+
 }  // namespace damaskthread::mesh
--- a/test/damaskthread/peer/frame_test.cc
+++ b/test/damaskthread/peer/frame_test.cc
@@ -79,11 +79,13 @@
   result.run_time = std::chrono::microseconds{1234};
   result.load = {37, 36, 5, std::chrono::microseconds{55}};
   result.response = {404, {{"A", "b"}}, "none"};
+  result.call_refused = true;
   const Result read = round_trip(result);
   CHECK(read.verdict == result.verdict);
   CHECK(read.run_time == result.run_time);
   CHECK(read.load.queued == 5);
   CHECK(read.response.body == "none");
+  CHECK(read.call_refused);
 
   Hello hello;
   hello.incarnation = {77};
@@ -96,6 +98,9 @@
   status.ready = true;
   status.calls = {{"a", "b"}};
   CHECK(round_trip(status).calls.front().second == "b");
+  const Pulse pulse = round_trip(Pulse{9, {37, 36, 5, std::chrono::microseconds{55}}});
+  CHECK(pulse.configuration_version == 9);
+  CHECK(pulse.load.running == 36);
   CHECK(round_trip(Cancel{5}).stream == 5);
   CHECK(round_trip(Resume{6, true}).idempotent);
   CHECK(round_trip(Configuration{3, "{}"}).document == "{}");
--- a/test/damaskthread/retry/next_step_test.cc
+++ b/test/damaskthread/retry/next_step_test.cc
@@ -60,6 +60,18 @@
   CHECK(next_step(answered) == NextStep::kPassOn);
 }
 
+TEST_CASE("a run that failed since a call of it was turned away is not repeated") {
+  PlacementFacts failed = facts();
+  failed.idempotent = true;
+  failed.answered = true;
+  failed.status = 500;
+  failed.verdict.execution = core::Execution::kRan;
+  failed.sends = 1;
+  CHECK(next_step(failed) == NextStep::kPlaceAgain);
+  failed.call_refused = true;
+  CHECK(next_step(failed) == NextStep::kPassOn);
+}
+
 TEST_CASE("a refusal moves a request on, a final one does not") {
   PlacementFacts refused = facts();
   refused.verdict = core::not_run(core::Cause::kLeaving);
