Draw on the budget of repeats when a request is sent again over a new connection

The gate sends an idempotent request again, over a new connection, when a reused one breaks, as it does when a server had closed it while idle.

Ruled out: to tell idle closes by a reset within 5 ms.

Change: such a request draws on the budget, and its run counts as a repeat, with its calls. The test of the idle close now plays 20 requests before, without which a gate that has just started has nothing to draw on; what it asserts is unchanged.

--- a/src/damaskthread/mesh/gate_host.cc
+++ b/src/damaskthread/mesh/gate_host.cc
@@ -51,6 +51,12 @@
 // Statuses that tell a caller that its request did not run.
 bool promises_not_run(int status) { return status == 408 || status == kMisdirected || status == 429 || status == 503; }
 
+// Takes a repeat from the budget.
+bool may_repeat(retry::RepeatBudget& budget, const GateHost::Hooks& hooks, const peer::Execute& execute,
+                core::TimePoint now) {
+  return budget.allow(now, hooks.servers(execute.service), execute.priority == 0);
+}
+
 peer::Result outcome(const core::Verdict& verdict, bool reached_server) {
   peer::Result result;
   result.verdict = verdict;
@@ -121,7 +127,7 @@
   if (state != gate::ServerState::kReady || life_.announcement()->service != run->execute.service) {
     return refuse(run, core::Cause::kNoServer);
   }
-  if (run->execute.repeat && !budget_.allow(now, hooks_.servers(run->execute.service), run->execute.priority == 0)) {
+  if (run->execute.repeat && !may_repeat(budget_, hooks_, run->execute, now)) {
     return refuse(run, core::Cause::kRetryBound);
   }
   gate::Arrival arrival;
@@ -170,10 +176,12 @@
 void GateHost::on_exchange(const RunPointer& run, ExchangeResult&& exchange) {
   const core::TimePoint time = now();
   connections_.release(std::exchange(run->connection, nullptr), time);
-  const bool lost_idle = exchange.end == ExchangeEnd::kLost && exchange.reused && run->execute.idempotent;
-  if (lost_idle && !run->resent && run->deadline > time) {
-    // Most likely the server closed the connection while it was idle.
+  const bool lost_reused = exchange.end == ExchangeEnd::kLost && exchange.reused && run->execute.idempotent;
+  if (lost_reused && !run->resent && run->deadline > time && may_repeat(budget_, hooks_, run->execute, time)) {
+    // Most likely the server closed the connection while it was idle; it may have run the request as well, so that this
+    // is a repeat, and so are the calls that it makes.
     run->resent = true;
+    run->execute.repeat = true;
     send(run, time);
     return;
   }
--- a/test/damaskthread/mesh/gate_host_test.cc
+++ b/test/damaskthread/mesh/gate_host_test.cc
@@ -3,7 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -29,20 +31,20 @@
 
 // A gate in front of a scripted server that has said that it is ready.
 struct Bench {
-  Bench()
+  explicit Bench(double repeat_slack = 100)
       : server(io),
         log("test", {}),
-        gate(io, adapter, settings(server), log, tally,
+        gate(io, adapter, settings(server, repeat_slack), log, tally,
              GateHost::Hooks{[] {}, [this](const quarantine::CrashReport& report) { crashes.push_back(report); },
                              [](const std::string&) { return std::string("/health"); },
                              [](const std::string&) { return 1; }}) {
     beat(1);
   }
 
-  static MeshSettings settings(const ScriptedServer& server) {
+  static MeshSettings settings(const ScriptedServer& server, double repeat_slack) {
     MeshSettings result;
     result.local_server = {server.endpoint().host, server.endpoint().port};
-    result.promises.repeat_slack = 100;
+    result.promises.repeat_slack = repeat_slack;
     return result;
   }
 
@@ -262,18 +264,20 @@
 
 TEST_CASE("an idempotent request on a connection that the server had closed is sent again, another one is not") {
   for (const bool idempotent : {true, false}) {
+    // Requests before, of which the budget of repeats is a share.
+    constexpr std::size_t kBefore = 20;
     Bench bench;
     bench.server.script = [&](const http::Request& request, ScriptedServer::Connection& connection) {
-      if (bench.server.requests.size() == 2) {
+      if (bench.server.requests.size() == kBefore + 1) {
         connection.reset();
         return;
       }
       connection.write(answer(request, "done"));
     };
-    CHECK(bench.result_of(Bench::request(1)).answered);
+    for (std::size_t i = 0; i < kBefore; ++i) CHECK(bench.result_of(Bench::request(100 + i, true)).answered);
     const peer::Result result = bench.result_of(Bench::request(2, idempotent));
     CHECK(result.answered == idempotent);
-    CHECK(bench.server.requests.size() == (idempotent ? 3U : 2U));
+    CHECK(bench.server.requests.size() == kBefore + (idempotent ? 2U : 1U));
     if (!idempotent) CHECK(result.verdict.execution == core::Execution::kMayHaveRun);
   }
 }
@@ -328,4 +332,27 @@
   }
 }
 
+TEST_CASE("a request that is sent again since its connection broke draws on the budget of repeats") {
+  Bench bench(0);
+  int arrivals = 0;
+  bool lose = false;
+  bench.server.script = [&](const http::Request& request, ScriptedServer::Connection& connection) {
+    ++arrivals;
+    if (!lose) return connection.write(answer(request, "ok"));
+    // The answer is lost after the run, which is nothing that a server does with a connection closed while idle.
+    auto timer = std::make_shared<boost::asio::steady_timer>(bench.io, milliseconds(30));
+    timer->async_wait([timer, lost = connection.shared_from_this()](const auto&) { lost->reset(); });
+  };
+  constexpr int kRounds = 10;
+  for (std::uint64_t round = 0; round < kRounds; ++round) {
+    lose = false;
+    CHECK(bench.result_of(Bench::request(2 * round, true)).answered);
+    // Sent on the connection that the answer left open.
+    lose = true;
+    CHECK(!bench.result_of(Bench::request(2 * round + 1, true)).answered);
+  }
+  constexpr int kFirsts = 2 * kRounds;
+  CHECK(arrivals - kFirsts <= kFirsts / 5);
+}
+
 }  // namespace damaskthread::mesh
