Let the process tests and the soak see a configuration that is not in force

Cause: deliberate faults in the daemon left two of the new process tests green. Without the offer of a configuration to daemons that lag, the daemon cut off from the store still served the newest route: that route, /vN/, lay below the constant one, /, which served it. The soak's check for changes in time was blind for the same reason since it exists. And the test of crash news sent its request to servers whose daemons knew of the crashes anyway.

Change: the newest version has a host of its own. Only the fresh daemon's server is left when it is sent the request.

A daemon that forgets the leave noted on the store stays green in "said it leaves", since the probe of the restarted daemon finds the leaving server unhealthy; that is a second protection.

--- a/test/meshfleet/fleet.cc
+++ b/test/meshfleet/fleet.cc
@@ -17,15 +17,16 @@
 
 std::string local(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
 
-Json path_entry(const ServiceSpec& service, const std::string& prefix) {
-  return {{"name", service.name + prefix},
-          {"path_prefix", prefix},
-          {"kind", service.idempotent ? "idempotent" : "non_idempotent"},
-          {"timeout", "1500ms"},
-          {"slo", "800ms"},
-          {"priority", service.idempotent ? 2 : 0},
-          {"service", service.name},
-          {"max_attempts", 2}};
+Json host_entry(const std::string& host, const ServiceSpec& service) {
+  const Json path = {{"name", host},
+                     {"path_prefix", "/"},
+                     {"kind", service.idempotent ? "idempotent" : "non_idempotent"},
+                     {"timeout", "1500ms"},
+                     {"slo", "800ms"},
+                     {"priority", service.idempotent ? 2 : 0},
+                     {"service", service.name},
+                     {"max_attempts", 2}};
+  return {{"host", host}, {"paths", Json::array({path})}};
 }
 
 }  // namespace
@@ -112,15 +113,18 @@
   Json hosts = Json::array();
   for (const ServiceSpec& service : services_) {
     services.push_back({{"name", service.name}, {"health_path", "/health"}, {"max_conns", 500}});
-    const std::string newest = "/v" + std::to_string(version_) + "/";
-    hosts.push_back(
-        {{"host", service.name + ".example"}, {"paths", {path_entry(service, "/"), path_entry(service, newest)}}});
+    hosts.push_back(host_entry(service.name + ".example", service));
+    hosts.push_back(host_entry(newest_host(service.name), service));
   }
   const Json limits = {{"header_bytes", 16384}, {"body_bytes", 1000000}, {"header", "3000ms"}, {"idle", "15000ms"}};
   return Json{{"version", version_.load()}, {"services", services}, {"limits", limits}, {"virtual_hosts", hosts}}
       .dump();
 }
 
+std::string Fleet::newest_host(const std::string& service) const {
+  return "v" + std::to_string(version_.load()) + "." + service + ".example";
+}
+
 Vm& Fleet::vm(const std::string& name) const {
   const auto found = std::find_if(vms_.begin(), vms_.end(), [&name](const auto& vm) { return vm->name == name; });
   if (found == vms_.end()) throw std::invalid_argument("no VM " + name);
--- a/test/meshfleet/fleet.h
+++ b/test/meshfleet/fleet.h
@@ -63,9 +63,11 @@
   void start_daemon(Vm& vm);
   /// @brief Kills a daemon without warning and waits for its end.
   static void kill_daemon(Vm& vm);
-  /// @brief Writes the next configuration to the store. Besides the constant route, each service has a route
-  /// /vVERSION/, by which a daemon shows what is in force.
+  /// @brief Writes the next configuration to the store. Besides its constant host, each service has one that only this
+  /// version knows, by which a daemon shows what is in force.
   void publish();
+  /// @return The host that only the newest version knows.
+  [[nodiscard]] std::string newest_host(const std::string& service) const;
   [[nodiscard]] int version() const noexcept { return version_; }
 
   /// @brief Runs something on the thread of the stand-ins.
--- a/test/meshfleet/fleet_test.cc
+++ b/test/meshfleet/fleet_test.cc
@@ -28,32 +28,33 @@
 constexpr seconds kRepeatWindow{10};
 constexpr seconds kPatience{10};
 
+constexpr const char* kHost = "lookup.example";
+
 // A fleet of its own for each test, with callers that ask one request at a time.
 struct Bench {
   explicit Bench(std::vector<ServiceSpec> services, const std::string& name)
       : fleet(std::move(services), support::program_path("meshfleet-logs/" + name)) {
     REQUIRE(fleet.start());
-    for (const auto& vm : fleet.vms()) REQUIRE(served_within(kPatience, *vm, vm->service, "/start"));
+    for (const auto& vm : fleet.vms()) REQUIRE(served_within(kPatience, *vm, vm->service + ".example"));
   }
 
-  support::HttpAnswer ask(const Vm& vm, const std::string& service, const std::string& path) {
+  support::HttpAnswer ask(const Vm& vm, const std::string& host, const std::string& path) {
     support::HttpCaller caller("127.0.0.1", vm.ports.calls);
-    return caller.call(request(service, path));
+    return caller.call(request(host, path));
   }
 
-  support::HttpCall request(const std::string& service, const std::string& path) {
+  support::HttpCall request(const std::string& host, const std::string& path) {
     support::HttpCall call;
     call.method = "POST";
     call.target = path;
     last_attempt = "a" + std::to_string(++attempts);
-    call.headers = {{"Host", service + ".example"}, {"X-Attempt-Id", last_attempt}, {"X-Deadline-Ms", "2500"}};
+    call.headers = {{"Host", host}, {"X-Attempt-Id", last_attempt}, {"X-Deadline-Ms", "2500"}};
     call.timeout = milliseconds(2700);
     return call;
   }
 
-  bool served_within(std::chrono::milliseconds time, const Vm& vm, const std::string& service,
-                     const std::string& path) {
-    return within(time, [&] { return ask(vm, service, path).status == 200; });
+  bool served_within(std::chrono::milliseconds time, const Vm& vm, const std::string& host) {
+    return within(time, [&] { return ask(vm, host, "/x").status == 200; });
   }
 
   static bool within(std::chrono::milliseconds time, const std::function<bool()>& condition) {
@@ -79,16 +80,12 @@
   void check_in_force_everywhere() {
     fleet.publish();
     const auto end = Clock::now() + kInForce;
-    const std::string newest = newest_path();
     for (const auto& vm : fleet.vms()) {
       const auto left = std::chrono::ceil<milliseconds>(end - Clock::now());
-      CHECK_MESSAGE(served_within(left, *vm, vm->service, newest), vm->name);
+      CHECK_MESSAGE(served_within(left, *vm, fleet.newest_host(vm->service)), vm->name);
     }
   }
 
-  // A path that only the newest configuration has.
-  [[nodiscard]] std::string newest_path() const { return "/v" + std::to_string(fleet.version()) + "/x"; }
-
   void restart_crashed_servers() {
     fleet.on_loop([&] {
       for (const auto& vm : fleet.vms()) {
@@ -133,8 +130,8 @@
   const auto end = Clock::now() + kDrainBound + seconds(3);
   int served = 0;
   while (Clock::now() < end) {
-    if (bench.ask(other, "lookup", "/x").status == 200) ++served;
-    (void)bench.ask(leaving, "lookup", "/x");
+    if (bench.ask(other, kHost, "/x").status == 200) ++served;
+    (void)bench.ask(leaving, kHost, "/x");
   }
   CHECK(served > 10);
   CHECK(bench.violations().empty());
@@ -149,7 +146,7 @@
     REQUIRE(support::wait_for_port(vm->ports.calls));
     // Without a configuration the answer is 503, never 404.
     CHECK(bench.within(kPatience, [&] {
-      const int status = bench.ask(*vm, "lookup", bench.newest_path()).status;
+      const int status = bench.ask(*vm, bench.fleet.newest_host("lookup"), "/x").status;
       CHECK(status != 404);
       return status == 200;
     }));
@@ -197,7 +194,7 @@
   Bench bench({{"lookup", true, 2, ""}}, "poison");
   for (int round = 0; round < 12; ++round) {
     for (const auto& vm : bench.fleet.vms()) {
-      (void)bench.ask(*vm, "lookup", "/poison");
+      (void)bench.ask(*vm, kHost, "/poison");
       bench.restart_crashed_servers();
     }
     std::this_thread::sleep_for(milliseconds(300));
@@ -205,7 +202,7 @@
   // Held once it has crashed three servers; sends that were under way at that time may still crash one more each.
   CHECK(bench.poisoned() >= 2);
   CHECK(bench.poisoned() <= 3 + 3);
-  CHECK(bench.served_within(kPatience, bench.fleet.vm("lookup-0"), "lookup", "/x"));
+  CHECK(bench.served_within(kPatience, bench.fleet.vm("lookup-0"), kHost));
 }
 
 TEST_CASE("a daemon that has just started holds a request that crashed servers before") {
@@ -214,18 +211,20 @@
   int stable = 0;
   while (stable < 6 && Clock::now() < end) {
     const int before = bench.poisoned();
-    (void)bench.ask(bench.fleet.vm("lookup-1"), "lookup", "/poison");
+    (void)bench.ask(bench.fleet.vm("lookup-1"), kHost, "/poison");
     bench.restart_crashed_servers();
     std::this_thread::sleep_for(milliseconds(400));
     stable = bench.poisoned() == before ? stable + 1 : 0;
   }
   REQUIRE(stable == 6);
+  // Only the server beside the fresh daemon is left, so that its own knowledge decides.
+  for (const char* const other : {"lookup-1", "lookup-2"}) bench.leave(bench.fleet.vm(other));
   Vm& fresh = bench.fleet.vm("lookup-0");
   Fleet::kill_daemon(fresh);
   bench.fleet.start_daemon(fresh);
-  REQUIRE(bench.served_within(kPatience, fresh, "lookup", "/x"));
+  REQUIRE(bench.served_within(kPatience, fresh, kHost));
   const int before = bench.poisoned();
-  for (int i = 0; i < 5; ++i) (void)bench.ask(fresh, "lookup", "/poison");
+  for (int i = 0; i < 5; ++i) (void)bench.ask(fresh, kHost, "/poison");
   CHECK(bench.poisoned() == before);
 }
 
@@ -233,10 +232,10 @@
   Bench bench({{"lookup", true, 2, ""}}, "stop");
   Vm& stopping = bench.fleet.vm("lookup-0");
   support::HttpCaller caller("127.0.0.1", stopping.ports.calls);
-  REQUIRE(caller.call(bench.request("lookup", "/x")).status == 200);
+  REQUIRE(caller.call(bench.request(kHost, "/x")).status == 200);
   stopping.daemon->signal(SIGTERM);
   // The connection stays open until an answer says otherwise.
-  const support::HttpAnswer last = caller.call(bench.request("lookup", "/x"));
+  const support::HttpAnswer last = caller.call(bench.request(kHost, "/x"));
   CHECK(last.exchange == support::Exchange::kWhole);
   CHECK(last.status == 200);
   CHECK(last.header("Connection") == "close");
@@ -252,7 +251,7 @@
   const auto end = Clock::now() + kRepeatWindow - seconds(1);
   std::vector<std::string> asked;
   while (Clock::now() < end) {
-    (void)bench.ask(*bench.fleet.vms()[asked.size() % 2], "lookup", "/x");
+    (void)bench.ask(*bench.fleet.vms()[asked.size() % 2], kHost, "/x");
     asked.push_back(bench.last_attempt);
   }
   int repeats = 0;
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -140,6 +140,8 @@
     fleet_.on_loop([&] { fleet_.store().forget_history(); });
   }
   void change_configuration(Vm& /*vm*/, milliseconds /*length*/) {
+    // Callers learn of the version while it is being written.
+    changed_at_ms_ = now_ms();
     fleet_.publish();
     changed_at_ms_ = now_ms();
   }
@@ -202,8 +204,9 @@
       request.method = service == "payment" ? "POST" : "GET";
       const int version = fleet_.version();
       const bool on_new_route = random() % 8 == 0;
-      request.target = on_new_route ? "/v" + std::to_string(version) + "/" + attempt : "/" + attempt;
-      request.headers = {{"Host", service + ".example"}, {"X-Attempt-Id", attempt}, {"X-Deadline-Ms", "2500"}};
+      const std::string host = on_new_route ? fleet_.newest_host(service) : service + ".example";
+      request.target = "/" + attempt;
+      request.headers = {{"Host", host}, {"X-Attempt-Id", attempt}, {"X-Deadline-Ms", "2500"}};
       request.timeout = milliseconds(2700);
       const std::int64_t sent = now_ms();
       const support::HttpAnswer answer = caller->call(request);
