Spend repeats where the fewest calls are left, and steer them in steps

Repeats went to trees by a sample, so a chosen tree cost 4.9 repeats, while trees that had passed three calls by chance were left to fail for want of one more. The selection by whole seconds let ordinary requests spend about a fifth of the budget before it reacted. Change: the daemon beside the calling server learns the calls of each kind's runs and sends the number of calls that the tree has left with each call. The budget ranks repeats by priority, calls left and sample, and keeps a threshold of rank that follows the demand five times a second. First attempts are counted over exactly one window (up to a tenth more before), so that 0.95 instead of 0.85 of the limit can be used. Ordinary requests get 0.85 of it instead of half, but 0.02 in a step. The unused count of mandatory repeats is gone.

--- a/src/damaskthread/mesh/ingress.cc
+++ b/src/damaskthread/mesh/ingress.cc
@@ -134,6 +134,7 @@
   exchange.parent_id = parent_id;
   exchange.priority = std::min(parent->priority, exchange.priority);
   exchange.repeat = parent->repeat;
+  exchange.calls_left = parent->calls_left;
   dependencies_.graph.record_call(parent->kind, exchange.route->name, true, now);
 }
 
@@ -216,6 +217,7 @@
   execute.nested = exchange->inner;
   execute.rerouted = exchange->refusals > 0 || exchange->sends > 0;
   execute.repeat = exchange->repeat || exchange->sends > 0;
+  execute.calls_left = exchange->calls_left;
   execute.time_left = exchange->response_deadline - now;
   execute.max_wait = exchange->inner ? execute.time_left : scaled(exchange->route->objective, kQueueWaitShare);
   execute.sent_at = now;
@@ -399,6 +401,7 @@
   if (exchange->inner && !served && (refused_for_capacity || exchange->call_refused)) {
     dependencies_.executor.record_refused_call(exchange->parent_id);
   }
+  if (exchange->inner && served) dependencies_.executor.record_served_call(exchange->parent_id);
   dependencies_.log.line(served ? LogClass::kServedRequest : LogClass::kFailedRequest, "request",
                          {{"attempt", exchange->attempt_id},
                           {"route", exchange->route->name},
--- a/src/damaskthread/mesh/ingress.h
+++ b/src/damaskthread/mesh/ingress.h
@@ -87,6 +87,8 @@
     bool call_refused = false;
     /// Priority of the external request at the root of the call tree; 0 is the most important.
     int priority = 0;
+    /// Expected number of calls that the call tree still has to make, this one included.
+    int calls_left = 1;
     /// The request that made the call was itself a repeat.
     bool repeat = false;
     core::TimePoint received;
--- a/src/damaskthread/mesh/local_executor.cc
+++ b/src/damaskthread/mesh/local_executor.cc
@@ -165,7 +165,7 @@
 
 bool LocalExecutor::consume_repeat_budget(const Run& run, core::TimePoint now) {
   return budget_.allow(now, hooks_.servers(run.execute.service),
-                       {run.execute.priority == 0, root_hash_fraction(run.execute)});
+                       {run.execute.priority, root_hash_fraction(run.execute), run.execute.calls_left});
 }
 
 void LocalExecutor::start(const RunPointer& run, core::TimePoint now) {
@@ -216,6 +216,9 @@
   peer::Result result = classify_exchange(*run, std::move(exchange), time);
   run->running = false;
   gate_.finish(run->execute.kind, answered && result.answered ? result.run_time : core::Duration::zero());
+  if (result.answered && result.response.status < kFirstFailureStatus) {
+    progress_.record_run(run->execute.kind, run->served_calls);
+  }
   end(run, std::move(result));
   apply_server_state(time);
   start_queued(time);
@@ -286,8 +289,15 @@
 std::optional<LocalExecutor::ParentRequest> LocalExecutor::running_attempt(std::string_view attempt_id) const {
   const auto found = running_attempts_.find(attempt_id);
   if (found == running_attempts_.end()) return std::nullopt;
-  const peer::Execute& execute = found->second->execute;
-  return ParentRequest{execute.kind, execute.priority, execute.repeat};
+  const Run& run = *found->second;
+  // The call of the run itself is one of the calls that its tree has left.
+  const int calls_left = run.execute.calls_left - 1 + progress_.calls_left(run.execute.kind, run.served_calls);
+  return ParentRequest{run.execute.kind, run.execute.priority, run.execute.repeat, calls_left};
+}
+
+void LocalExecutor::record_served_call(std::string_view attempt_id) {
+  const auto found = running_attempts_.find(attempt_id);
+  if (found != running_attempts_.end()) ++found->second->served_calls;
 }
 
 void LocalExecutor::record_refused_call(std::string_view attempt_id) {
--- a/src/damaskthread/mesh/local_executor.h
+++ b/src/damaskthread/mesh/local_executor.h
@@ -24,6 +24,7 @@
 #include "damaskthread/mesh/settings.h"
 #include "damaskthread/peer/message.h"
 #include "damaskthread/quarantine/crash_counter.h"
+#include "damaskthread/retry/call_progress.h"
 #include "damaskthread/retry/repeat_budget.h"
 
 namespace damaskthread::mesh {
@@ -84,10 +85,14 @@
     std::string kind;
     int priority = 0;
     bool repeat = false;
+    /// Expected number of calls that the call tree still has to make, the next one included.
+    int calls_left = 1;
   };
   /// @brief Finds the running request with an attempt id.
   [[nodiscard]] std::optional<ParentRequest> running_attempt(std::string_view attempt_id) const;
 
+  /// @brief Records that a nested call of a running request was served.
+  void record_served_call(std::string_view attempt_id);
   /// @brief Records that a nested call of a running request was refused for lack of capacity.
   void record_refused_call(std::string_view attempt_id);
 
@@ -113,6 +118,8 @@
     bool resent = false;
     /// A nested call was refused for lack of capacity.
     bool call_refused = false;
+    /// Nested calls that were served.
+    int served_calls = 0;
   };
   struct RetainedResult {
     core::TimePoint expires_at;
@@ -152,6 +159,7 @@
   gate::ServerLifecycle life_;
   gate::ServerGate gate_;
   retry::RepeatBudget budget_;
+  retry::CallProgress progress_;
   ServerConnections connections_;
   gate::ServerState applied_state_ = gate::ServerState::kUnknown;
   bool stopping_ = false;
--- a/src/damaskthread/peer/frame.cc
+++ b/src/damaskthread/peer/frame.cc
@@ -1,5 +1,6 @@
 #include "damaskthread/peer/frame.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/leaf/error.hpp>
 #include <chrono>
@@ -85,7 +86,7 @@
     return Json::array({1, execute.stream, execute.attempt_id, execute.service, execute.kind, execute.caller_service,
                         execute.idempotent, execute.priority, execute.nested, execute.repeat, to_ms(execute.time_left),
                         to_ms(execute.max_wait), to_us(execute.sent_at.time_since_epoch()), execute.request.method,
-                        execute.request.target, encode(execute.request.headers), execute.rerouted});
+                        execute.request.target, encode(execute.request.headers), execute.rerouted, execute.calls_left});
   }
   Json operator()(const Result& result) const {
     return Json::array({2, result.stream, static_cast<int>(result.verdict.execution),
@@ -143,6 +144,8 @@
   execute.request.target = fields.at(14).get<std::string>();
   execute.request.headers = decode_headers(fields.at(15));
   execute.rerouted = fields.at(16).get<bool>();
+  // Absent in frames of daemons of the previous version.
+  if (fields.size() > 17) execute.calls_left = std::max(1, fields.at(17).get<int>());
   execute.request.body = std::move(body);
   return execute;
 }
--- a/src/damaskthread/peer/message.h
+++ b/src/damaskthread/peer/message.h
@@ -58,6 +58,8 @@
   bool repeat = false;
   /// Another daemon or its server has just refused the request.
   bool rerouted = false;
+  /// Expected number of calls that the call tree of the request still has to make, this one included.
+  int calls_left = 1;
   core::Duration time_left{0};
   core::Duration max_wait{0};
   /// Send time by the sender's clock, to detect requests delayed in transit. The clocks of two daemons differ.
--- a/src/damaskthread/retry/fwd.h
+++ b/src/damaskthread/retry/fwd.h
@@ -18,6 +18,10 @@
 enum class RequestIdOrigin : std::uint8_t;
 struct RepeatGrant;
 class RepeatAuthorizer;
+struct RepeatPriority;
+class RepeatBudget;
+struct RepeatBudgetOptions;
+class CallProgress;
 
 }  // namespace damaskthread::retry
 
--- a/src/damaskthread/retry/repeat_budget.h
+++ b/src/damaskthread/retry/repeat_budget.h
@@ -19,21 +19,33 @@
   /// Repeats allowed for the whole service in a window in addition to the ratio.
   double slack = 0;
   /// Fraction of the limit that is used. The rest covers daemons that restarted and lost their counts.
-  double limit_fraction = 0.85;
-  /// Maximum fraction of the window limit for repeats of less important requests. They get less if important requests
-  /// need more.
-  double ordinary_fraction = 0.5;
+  double limit_fraction = 0.95;
+  /// Maximum fraction of the window limit for repeats of requests that do not have the highest priority.
+  double ordinary_fraction = 0.85;
+  /// The same for one step, as a fraction of the window limit, so that the start of an overload, before the threshold
+  /// follows the demand, leaves the budget to the highest priority.
+  double ordinary_step_fraction = 0.02;
   /// Fraction of the remaining budget that one interval may spend when demand exceeds the budget, so that a long
   /// overload does not exhaust the budget at its start.
-  double interval_fraction = 0.18;
+  double interval_fraction = 0.15;
+  /// Number of levels by which repeats are ordered by the calls that their call tree still has to make; with 1, all are
+  /// equal. The last level holds all larger numbers of calls.
+  int progress_levels = 4;
+  /// Weight of the last step in the moving average of the demand.
+  double smoothing = 0.3;
+  /// Maximum rise of the threshold in a step. A repeat that is allowed leads to further ones, which show up in the
+  /// demand of later steps only.
+  double max_threshold_rise = 0.07;
 };
 
-/// Priority of a repeat, derived from the request it belongs to.
+/// Precedence of a repeat, derived from the request it belongs to.
 struct RepeatPriority {
-  /// Whether the request has the highest priority. Part of the budget is reserved for such requests.
-  bool important = false;
+  /// Priority of the root request; 0 is the most important.
+  int priority = 0;
   /// Hash of the root request, scaled to 0 to 1; the same for all calls of its call tree.
   double sample = 0;
+  /// Expected number of calls that its call tree still has to make, this one included.
+  int calls_left = 1;
 };
 
 /// @brief Limits the repeats at one server. Each daemon keeps one for its local server, all of whose requests pass
@@ -42,16 +54,15 @@
 ///
 /// Load pattern: all servers of a service fail or refuse part of their requests for a while. A request makes several
 /// calls to the service, each of which needs repeats, so repeats spread evenly over all requests would complete hardly
-/// any. The repeats that the limit allows go to the most important requests, and among these to the ones with the
-/// lowest samples, so that all daemons select the same requests without coordination.
+/// any. The repeats that the limit allows go to the most important requests, among these to the ones whose call trees
+/// have the fewest calls left, since they need the fewest repeats to complete, and then to the ones with the lowest
+/// samples, so that all daemons select the same requests without coordination.
 class RepeatBudget {
  public:
   RepeatBudget(const RepeatBudgetOptions& options, core::TimePoint now) noexcept;
 
   /// @brief Counts the first attempt of a request.
   void on_first_attempt(core::TimePoint now) noexcept;
-  /// @brief Counts a repeat that is accepted regardless of the budget.
-  void on_mandatory_repeat(core::TimePoint now) noexcept;
   /// @brief Takes a repeat from the budget.
   /// @param servers Number of servers of the service, among which its slack is divided.
   /// @return Whether the budget allows the repeat.
@@ -59,45 +70,49 @@
 
  private:
   static constexpr std::size_t kIntervals = 10;
-  static constexpr std::size_t kSampleBuckets = 16;
-  /// Requested repeats by sample bucket, whether allowed or not.
-  using Demand = std::array<double, kSampleBuckets>;
+  static constexpr std::size_t kStepsPerInterval = 5;
+  static constexpr std::size_t kRankBuckets = 96;
+  /// Repeats by rank.
+  using Demand = std::array<double, kRankBuckets>;
   struct Interval {
     double first_attempts = 0;
     double repeats = 0;
-    Demand important{};
-    Demand ordinary{};
-  };
-  /// Number of sample buckets whose repeats are allowed.
-  struct SelectedBuckets {
-    std::size_t important = kSampleBuckets;
-    std::size_t ordinary = kSampleBuckets;
   };
 
   void advance(core::TimePoint now) noexcept;
-  /// Selects, at the end of an interval, the sample buckets whose repeats are allowed in the next one.
-  void select_buckets(const Interval& previous) noexcept;
+  /// Sets the threshold, at the end of a step, so that the expected demand below it fits into the allowance.
+  void adjust_threshold(core::TimePoint now) noexcept;
+  /// Order in which repeats are allowed, from 0 to 1: by priority, then by calls left, then by sample.
+  [[nodiscard]] double rank_of(const RepeatPriority& priority) const noexcept;
+  /// Repeats that one step may spend while demand exceeds the budget.
+  [[nodiscard]] double step_allowance(core::TimePoint now) const noexcept;
   /// Repeats that may reach the server in a window. The limit is based on the largest number of first attempts in the
   /// window that ends now, half a window ago or a window ago, since first attempts decrease during a failure.
-  [[nodiscard]] double window_limit() const noexcept;
+  [[nodiscard]] double window_limit(core::TimePoint now) const noexcept;
   /// Repeats accepted in the current window.
   [[nodiscard]] double repeats_in_window() const noexcept;
   /// Interval that began `ago` intervals ago; 0 is the current one.
   [[nodiscard]] const Interval& interval(std::size_t ago) const noexcept;
   /// First attempts in the window that ended `ago` intervals ago.
-  [[nodiscard]] double first_attempts(std::size_t ago) const noexcept;
-  /// Repeats that important requests would request in a window, extrapolated from the current and the last interval.
-  [[nodiscard]] double projected_important_demand() const noexcept;
+  [[nodiscard]] double first_attempts(std::size_t ago, core::TimePoint now) const noexcept;
 
   RepeatBudgetOptions options_;
   core::TimePoint started_at_;
   core::TimePoint interval_start_;
+  core::TimePoint step_start_;
   /// This server's fraction of the slack.
   double slack_ = 0;
   // Two windows plus one interval, since the current interval is incomplete.
   std::array<Interval, 2 * kIntervals + 1> intervals_{};
   std::size_t current_ = 0;
-  SelectedBuckets selected_;
+  /// Repeats requested in the current step, whether allowed or not.
+  Demand step_demand_{};
+  /// Moving average of the repeats requested in a step.
+  Demand mean_demand_{};
+  /// Repeats allowed in the current step that do not have the highest priority.
+  double ordinary_in_step_ = 0;
+  /// Rank below which repeats are allowed.
+  double threshold_ = 1;
 };
 
 }  // namespace damaskthread::retry
