Make the options of the decision modules settings

Change: section policy of the settings, read by tables of option members; describe and the fleet's digest include it. New options by value: the bound on the wait, the share and spread of Retry-After, hedges, services connected ahead, priorities of the queue, demand of re-routed requests, run time ratio, size of a full mesh, crash threshold. Conclusion: defaults are the former constants; no change of behaviour.

--- a/src/damaskthread/gate/server_gate.cc
+++ b/src/damaskthread/gate/server_gate.cc
@@ -35,7 +35,8 @@
 
 Admission ServerGate::arrive(const Arrival& arrival, core::TimePoint now) {
   if (capacity_ <= 0) return Admission::kRefuse;
-  if (!arrival.rerouted) demand_.add(mean_run_time(arrival.kind), now);
+  const double counted = arrival.rerouted ? options_.rerouted_demand : 1;
+  demand_.add(std::chrono::duration_cast<core::Duration>(counted * mean_run_time(arrival.kind)), now);
   const auto needed =
       std::chrono::duration_cast<core::Duration>(options_.min_run_time_share * mean_run_time(arrival.kind));
   const core::TimePoint latest_start = std::min(arrival.deadline - needed, now + arrival.max_wait);
@@ -44,7 +45,7 @@
     ++running_;
     return Admission::kStart;
   }
-  const QueueKey key{!arrival.nested, arrival.priority, next_arrival_number_};
+  const QueueKey key{!arrival.nested, std::min(arrival.priority, options_.queue_priorities - 1), next_arrival_number_};
   const double expected_wait = mean_run_seconds_ * (count_ahead(key) + 1) / std::max(1, limit());
   if (now + from_seconds(expected_wait) > latest_start) return Admission::kRefuse;
   ++next_arrival_number_;
--- a/src/damaskthread/gate/server_gate.h
+++ b/src/damaskthread/gate/server_gate.h
@@ -58,6 +58,10 @@
   /// A request is refused if its remaining time is below this share of the mean run time of its kind, since it would
   /// not finish.
   double min_run_time_share = 0.5;
+  /// Number of priorities by which the queue is ordered; less important ones are equal to the last.
+  int queue_priorities = 3;
+  /// Part of a request that counts as demand although another gate refused it and counted it already.
+  double rerouted_demand = 0;
 };
 
 /// @brief Owns the slots of one server. All requests to the server pass through it, so that the server never receives
--- a/src/damaskthread/mesh/fleet.cc
+++ b/src/damaskthread/mesh/fleet.cc
@@ -30,8 +30,13 @@
 }  // namespace
 
 Fleet::Fleet(boost::asio::io_context& io, const peer::Member& self, core::Incarnation incarnation, EventLog& log,
-             Hooks hooks)
-    : io_(io), self_(self), incarnation_(incarnation), log_(log), hooks_(std::move(hooks)), plan_(self.endpoint) {
+             Hooks hooks, const overlay::LinkPlanOptions& links)
+    : io_(io),
+      self_(self),
+      incarnation_(incarnation),
+      log_(log),
+      hooks_(std::move(hooks)),
+      plan_(self.endpoint, links) {
   next_reconnect_ = now() + kReconnectInterval;
   link_hooks_.make_hello = [this] { return greeting(); };
   link_hooks_.on_hello = [this](const PeerLink& link, const peer::Hello& hello) { on_greeted(link, hello); };
--- a/src/damaskthread/mesh/fleet.h
+++ b/src/damaskthread/mesh/fleet.h
@@ -43,7 +43,7 @@
   using Links = std::map<std::string, std::shared_ptr<PeerLink>>;
 
   Fleet(boost::asio::io_context& io, const peer::Member& self, core::Incarnation incarnation, EventLog& log,
-        Hooks hooks);
+        Hooks hooks, const overlay::LinkPlanOptions& links = {});
 
   /// @brief Adds a daemon, or updates its zone and service if it introduced itself.
   void learn(const peer::Member& member, Source source);
--- a/src/damaskthread/mesh/fwd.h
+++ b/src/damaskthread/mesh/fwd.h
@@ -5,6 +5,8 @@
 
 struct HeaderNames;
 struct MeshSettings;
+struct Policy;
+struct RequestOptions;
 class Adapter;
 class CallerRequest;
 class Daemon;
--- a/src/damaskthread/mesh/ingress.cc
+++ b/src/damaskthread/mesh/ingress.cc
@@ -27,11 +27,7 @@
 constexpr core::Duration kMinRetryAfter = milliseconds{100};
 // Callers honour Retry-After up to this share of their remaining time.
 constexpr double kHonouredRetryAfterShare = 1.0 / 3;
-// Share of the latency objective that a new request may spend in a queue; execution needs the rest.
-constexpr double kQueueWaitShare = 0.25;
 constexpr double kOverloadPressure = 0.05;
-// With at most this many services, connections to the servers of all are opened before the first request needs them.
-constexpr std::size_t kMaxPreconnectedServices = 8;
 
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -61,7 +57,12 @@
 }  // namespace
 
 Ingress::Ingress(Dependencies parts, std::string self, core::Incarnation incarnation)
-    : dependencies_(parts), own_endpoint_(std::move(self)), incarnation_(incarnation), random_(incarnation.value) {}
+    : dependencies_(parts),
+      own_endpoint_(std::move(self)),
+      incarnation_(incarnation),
+      random_(incarnation.value),
+      throttle_(parts.policy.entrance),
+      options_(parts.policy.requests) {}
 
 void Ingress::set_table(std::shared_ptr<const route::RouteTable> table) {
   table_ = std::move(table);
@@ -69,7 +70,7 @@
 }
 
 std::map<std::string, overlay::Interest, std::less<>> Ingress::interests(core::TimePoint now) {
-  if (table_ != nullptr && table_->service_names().size() <= kMaxPreconnectedServices) {
+  if (table_ != nullptr && table_->service_names().size() <= options_.preconnected_services) {
     for (const std::string& service : table_->service_names()) interests_.record_use(service, now);
   }
   for (const auto& [service, interest] : interests_.interests(now)) {
@@ -219,7 +220,7 @@
   execute.repeat = exchange->repeat || exchange->sends > 0;
   execute.calls_left = exchange->calls_left;
   execute.time_left = exchange->response_deadline - now;
-  execute.max_wait = exchange->inner ? execute.time_left : scaled(exchange->route->objective, kQueueWaitShare);
+  execute.max_wait = exchange->inner ? execute.time_left : scaled(exchange->route->objective, options_.max_wait_share);
   execute.sent_at = now;
   execute.request = exchange->caller->request;
   exchange->endpoint = endpoint;
@@ -267,7 +268,7 @@
   retry::PlacementOutcome facts = placement_facts(*exchange, time);
   ++facts.sends;
   // Without a second copy the placement stays, since the daemon may still respond.
-  if (!retry::should_hedge(facts)) return;
+  if (static_cast<int>(exchange->unresponsive.size()) >= options_.max_hedges || !retry::should_hedge(facts)) return;
   exchange->tried.push_back(exchange->endpoint);
   record_delivery(*exchange, exchange->endpoint);
   exchange->may_have_run = true;
@@ -354,10 +355,11 @@
   // The retry should still meet the latency objective and stay within the share of the remaining time that callers
   // honour. The delay is randomised so that refused callers do not retry at the same moment.
   const core::Duration honoured = scaled(exchange.deadline - now, kHonouredRetryAfterShare);
-  const core::Duration useful = scaled(exchange.route->objective - (now - exchange.received), 0.5);
+  const core::Duration useful =
+      scaled(exchange.route->objective - (now - exchange.received), options_.retry_after_share);
   const core::Duration longest =
       std::clamp(useful, std::min(kMinRetryAfter, honoured), std::max(kMinRetryAfter, honoured));
-  return scaled(longest, std::uniform_real_distribution<double>(0.4, 1.0)(random_));
+  return scaled(longest, std::uniform_real_distribution<double>(options_.retry_after_min_factor, 1.0)(random_));
 }
 
 void Ingress::pass_on(const ExchangePointer& exchange, const http::Response& response) {
--- a/src/damaskthread/mesh/ingress.h
+++ b/src/damaskthread/mesh/ingress.h
@@ -20,6 +20,7 @@
 #include "damaskthread/mesh/fleet.h"
 #include "damaskthread/mesh/http_listener.h"
 #include "damaskthread/mesh/local_executor.h"
+#include "damaskthread/mesh/policy.h"
 #include "damaskthread/metrics/registry.h"
 #include "damaskthread/overlay/interest_table.h"
 #include "damaskthread/placement/server_pool.h"
@@ -41,6 +42,7 @@
     entrance::CallGraph& graph;
     Fleet& fleet;
     LocalExecutor& executor;
+    const Policy& policy;
   };
 
   /// @param self Endpoint of this daemon, under which the pool lists the local server.
@@ -160,6 +162,7 @@
   std::shared_ptr<const route::RouteTable> table_;
   route::WeightedSplit split_;
   entrance::Throttle throttle_;
+  RequestOptions options_;
   overlay::InterestTable interests_;
   std::string local_service_;
   std::map<std::uint64_t, ExchangePointer> exchanges_;
--- a/src/damaskthread/mesh/local_executor.cc
+++ b/src/damaskthread/mesh/local_executor.cc
@@ -58,6 +58,14 @@
   return static_cast<std::size_t>(kAnswerMemoryShare * static_cast<double>(settings.memory_mb * kMegabyte));
 }
 
+retry::RepeatBudgetOptions repeat_options(const MeshSettings& settings) {
+  retry::RepeatBudgetOptions options = settings.policy.repeats;
+  options.ratio = settings.promises.repeat_ratio;
+  options.window = settings.promises.repeat_window;
+  options.slack = settings.promises.repeat_slack;
+  return options;
+}
+
 peer::Result make_result(const core::Verdict& verdict, bool reached_server) {
   peer::Result result;
   result.verdict = verdict;
@@ -76,7 +84,8 @@
       tally_(tally),
       hooks_(std::move(hooks)),
       life_(kHeartbeatsMissed * settings.heartbeat + kHeartbeatTolerance),
-      budget_({settings.promises.repeat_ratio, settings.promises.repeat_window, settings.promises.repeat_slack}, now()),
+      gate_(settings.policy.gate),
+      budget_(repeat_options(settings), now()),
       connections_(io, adapter.headers().attempt_id, answer_memory(settings)),
       last_tick_(now()) {
   connections_.set_endpoint({settings.local_server.host, settings.local_server.port});
--- a/src/damaskthread/mesh/settings.cc
+++ b/src/damaskthread/mesh/settings.cc
@@ -118,6 +118,7 @@
   reader.integer("memory_mb", settings.memory_mb, kMinMemoryMb, kMaxMemoryMb, Presence::kOptional);
   read_log_level(reader, settings.log_level);
   read_promises(reader.field("promises", Presence::kOptional), source, errors, settings.promises);
+  read_policy(reader.field("policy", Presence::kOptional), source, errors, settings.policy);
   ObjectReader listen(reader.field("listen", Presence::kRequired), std::string(source), "listen", errors);
   for (const EndpointField& field : kListenFields) {
     listen.endpoint(field.name, settings.*field.member, Presence::kRequired);
@@ -194,7 +195,8 @@
 std::string fleet_digest(const MeshSettings& settings) {
   std::string text;
   for (const auto& [name, value] : parse_description(describe(settings))) {
-    const bool shared = name.starts_with("promises.") || name == "store" || name == "heartbeat";
+    const bool shared =
+        name.starts_with("promises.") || name.starts_with("policy.") || name == "store" || name == "heartbeat";
     if (shared) text.append(name).append(value).push_back('\n');
   }
   std::array<char, 17> digits{};
@@ -221,7 +223,8 @@
       << "\npromises.drain: " << ms(settings.promises.drain) << "\npromises.grace: " << ms(settings.promises.grace)
       << "\npromises.repeat_ratio: " << settings.promises.repeat_ratio
       << "\npromises.repeat_window: " << ms(settings.promises.repeat_window)
-      << "\npromises.repeat_slack: " << settings.promises.repeat_slack << "\n";
+      << "\npromises.repeat_slack: " << settings.promises.repeat_slack << "\n"
+      << describe(settings.policy);
   return std::move(out).str();
 }
 
--- a/src/damaskthread/mesh/settings.h
+++ b/src/damaskthread/mesh/settings.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "damaskthread/core/types.h"
+#include "damaskthread/mesh/policy.h"
 #include "damaskthread/settings/settings.h"
 
 namespace damaskthread::mesh {
@@ -49,6 +50,7 @@
   std::vector<settings::Endpoint> seeds;  ///< Peer addresses to contact at startup in addition to those in the store.
   core::Duration heartbeat = std::chrono::milliseconds{1500};
   Promises promises;
+  Policy policy;
   std::uint32_t max_descriptors = 4096;
   std::uint32_t memory_mb = 160;  ///< Memory limit of the process in megabytes.
   settings::LogLevel log_level = settings::LogLevel::kInfo;
--- a/src/damaskthread/placement/server_pool.cc
+++ b/src/damaskthread/placement/server_pool.cc
@@ -8,8 +8,6 @@
 namespace damaskthread::placement {
 namespace {
 
-// Upper bound of the ratio of a run time to its mean, since a single slow run is not significant.
-constexpr double kMaxRunTimeRatio = 8;
 // Spread of the random cost factor that keeps daemons from choosing equal servers in the same order.
 constexpr double kJitter = 0.08;
 
@@ -119,7 +117,7 @@
   if (failed || seconds <= 0) return;
   double& mean = mean_run_seconds_by_kind_[std::string(kind)];
   mean = mean == 0 ? seconds : mean + 0.2 * options_.smoothing * (seconds - mean);
-  const double run_time_ratio = std::min(kMaxRunTimeRatio, seconds / mean);
+  const double run_time_ratio = std::min(options_.max_run_time_ratio, seconds / mean);
   server->relative_run_time += options_.smoothing * (run_time_ratio - server->relative_run_time);
 }
 
--- a/src/damaskthread/placement/server_pool.h
+++ b/src/damaskthread/placement/server_pool.h
@@ -49,6 +49,9 @@
   double queue_cost = 2.0;
   /// Cost of a server that fails every request, in mean run times.
   double failure_cost = 6.0;
+  /// Upper bound of the ratio of a run time to its mean, since a single slow run is not significant. With 1, servers
+  /// are not compared by their run times.
+  double max_run_time_ratio = 8;
   double smoothing = 0.1;
   /// Time for which a server is avoided after a refusal.
   core::Duration refusal_backoff = std::chrono::milliseconds{30};
--- a/src/damaskthread/quarantine/crash_counter.cc
+++ b/src/damaskthread/quarantine/crash_counter.cc
@@ -18,7 +18,7 @@
 
 bool CrashCounter::held(std::uint64_t fingerprint, core::TimePoint /*now*/) const {
   const auto found = counts_.find(fingerprint);
-  return found != counts_.end() && found->second >= crash_threshold_;
+  return found != counts_.end() && found->second >= options_.crash_threshold;
 }
 
 std::vector<CrashReport> CrashCounter::recent(core::TimePoint now) const {
@@ -31,7 +31,7 @@
 
 void CrashCounter::tick(core::TimePoint now) {
   for (auto recorded = reports_.begin(); recorded != reports_.end();) {
-    if (now - recorded->second.time <= retention_) {
+    if (now - recorded->second.time <= options_.retention) {
       ++recorded;
       continue;
     }
--- a/src/damaskthread/quarantine/crash_counter.h
+++ b/src/damaskthread/quarantine/crash_counter.h
@@ -21,6 +21,13 @@
   std::vector<std::uint64_t> running;
 };
 
+struct CrashCounterOptions {
+  /// Number of crashes after which a request is held.
+  int crash_threshold = 3;
+  /// Time for which a crash counts.
+  core::Duration retention = std::chrono::minutes{10};
+};
+
 /// @brief Counts the crashes during which each request was running. Used where repeated requests cannot be recognized
 /// by an id, and where running suspects one at a time, as in `CrashQuarantine`, would leave the servers idle after an
 /// ordinary crash.
@@ -29,10 +36,7 @@
 /// ran at the same servers are rarely running during three crashes.
 class CrashCounter {
  public:
-  /// @param crash_threshold Number of crashes after which a request is held.
-  /// @param retention Time for which a crash counts.
-  explicit CrashCounter(int crash_threshold = 3, core::Duration retention = std::chrono::minutes{10}) noexcept
-      : crash_threshold_(crash_threshold), retention_(retention) {}
+  explicit CrashCounter(const CrashCounterOptions& options = {}) noexcept : options_(options) {}
 
   /// @brief Records a crash report. Duplicates are ignored.
   /// @return Whether the report was new.
@@ -49,8 +53,7 @@
     CrashReport report;
     core::TimePoint time;
   };
-  int crash_threshold_;
-  core::Duration retention_;
+  CrashCounterOptions options_;
   std::unordered_map<std::uint64_t, RecordedReport> reports_;
   std::unordered_map<std::uint64_t, int> counts_;
 };
--- a/test/damaskthread/mesh/ingress_test.cc
+++ b/test/damaskthread/mesh/ingress_test.cc
@@ -30,7 +30,7 @@
                  {[] {}, [](const quarantine::CrashReport&) {}, [](const std::string&) { return std::string(); },
                   [](const std::string&) { return 2; }}),
         fleet(io, {kOwnEndpoint, "z", "s"}, core::Incarnation{7}, log, {}),
-        ingress({adapter, log, registry, pool, graph, fleet, executor}, kOwnEndpoint, core::Incarnation{7}),
+        ingress({adapter, log, registry, pool, graph, fleet, executor, policy}, kOwnEndpoint, core::Incarnation{7}),
         listener(io, {"127.0.0.1", 0}, 10, [this](const auto& request) { ingress.handle(request); }),
         caller(io) {
     gate::ServerHeartbeat announcement;
@@ -88,6 +88,7 @@
   ScriptedServer server;
   EventLog log;
   metrics::Registry registry;
+  Policy policy;
   quarantine::CrashCounter tally;
   placement::ServerPool pool;
   entrance::CallGraph graph;
