Leave requests that a server rejects with free slots out of its demand

Change: ServerGate::reject takes the arrival back from the demand when slots were free and nothing was queued.

--- a/src/damaskthread/gate/demand_meter.cc
+++ b/src/damaskthread/gate/demand_meter.cc
@@ -1,5 +1,6 @@
 #include "damaskthread/gate/demand_meter.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
 
@@ -21,4 +22,9 @@
   updated_ = now;
 }
 
+void DemandMeter::remove(core::Duration run_time, core::TimePoint now) noexcept {
+  slots_ = std::max(0.0, slots(now) - in_time_constants(run_time));
+  updated_ = now;
+}
+
 }  // namespace damaskthread::gate
--- a/src/damaskthread/gate/demand_meter.h
+++ b/src/damaskthread/gate/demand_meter.h
@@ -15,6 +15,8 @@
   /// @brief Records an arrival.
   /// @param run_time Expected run time of the request.
   void add(core::Duration run_time, core::TimePoint now) noexcept;
+  /// @brief Takes back a recent arrival that occupied no slot.
+  void remove(core::Duration run_time, core::TimePoint now) noexcept;
   /// @return Number of slots that the arrivals would occupy on average.
   [[nodiscard]] double slots(core::TimePoint now) const noexcept;
 
--- a/src/damaskthread/gate/server_gate.cc
+++ b/src/damaskthread/gate/server_gate.cc
@@ -77,6 +77,11 @@
   update_mean(mean_run_seconds_, seconds, options_.smoothing);
 }
 
+void ServerGate::reject(const std::string& kind, core::TimePoint now) {
+  if (queue_.empty() && running_ < limit()) demand_.remove(mean_run_time(kind), now);
+  finish(kind, core::Duration::zero());
+}
+
 bool ServerGate::withdraw(Ticket ticket) {
   const auto found =
       std::find_if(queue_.begin(), queue_.end(), [ticket](const auto& entry) { return entry.second.ticket == ticket; });
--- a/src/damaskthread/gate/server_gate.h
+++ b/src/damaskthread/gate/server_gate.h
@@ -69,7 +69,9 @@
 ///
 /// Load patterns: a surge that outlasts the queue (arrivals whose expected wait exceeds their maximum wait are refused
 /// immediately, while the caller can still use the answer), a mix of new requests and nested calls (nested calls go
-/// first, since their parents hold slots upstream), a mix of priorities (the most important go first).
+/// first, since their parents hold slots upstream), a mix of priorities (the most important go first), a server that
+/// rejects part of its requests although slots are free (its demand shrinks, so that the entrance admits requests that
+/// it may serve).
 class ServerGate {
  public:
   explicit ServerGate(const GateOptions& options = {}) noexcept : options_(options) {}
@@ -90,6 +92,9 @@
   /// @param kind Kind of the request.
   /// @param run_time Run time; zero if it is not representative of its kind.
   void finish(const std::string& kind, core::Duration run_time);
+  /// @brief Releases the slot of a request that the server rejected. If slots are free, the server did not reject it
+  /// for lack of capacity, and it does not count as demand: it occupied nothing.
+  void reject(const std::string& kind, core::TimePoint now);
   /// @brief Removes a request from the queue.
   /// @return Whether the request was queued.
   bool withdraw(Ticket ticket);
--- a/src/damaskthread/mesh/local_executor.cc
+++ b/src/damaskthread/mesh/local_executor.cc
@@ -224,7 +224,12 @@
   const bool answered = exchange.outcome == ExchangeOutcome::kCompleted;
   peer::Result result = classify_exchange(*run, std::move(exchange), time);
   run->running = false;
-  gate_.finish(run->execute.kind, answered && result.answered ? result.run_time : core::Duration::zero());
+  const bool rejected = result.verdict.execution == core::Execution::kNotRun && result.reached_server;
+  if (rejected) {
+    gate_.reject(run->execute.kind, time);
+  } else {
+    gate_.finish(run->execute.kind, answered && result.answered ? result.run_time : core::Duration::zero());
+  }
   if (result.answered && result.response.status < kFirstFailureStatus) {
     progress_.record_run(run->execute.kind, run->served_calls);
   }
--- a/test/damaskthread/gate/server_gate_test.cc
+++ b/test/damaskthread/gate/server_gate_test.cc
@@ -96,6 +96,36 @@
   CHECK(start.empty());
 }
 
+// Load replay: a server rejects more than half of its requests at random while most of its slots are free.
+TEST_CASE("requests that the server rejects while slots are free do not count as demand") {
+  constexpr int kSlots = 10;
+  constexpr core::Duration kRunTime = milliseconds{100};
+  constexpr core::Duration kArrivalInterval = milliseconds{5};  // Twice the capacity.
+  ServerGate gate({.usable_capacity_share = 1.0});
+  gate.set_capacity(kSlots);
+  (void)gate.arrive(make_arrival(1), kStart);
+  gate.finish("k", kRunTime);
+  core::TimePoint now = kStart;
+  for (std::uint64_t ticket = 2; ticket < 400; ++ticket) {
+    now += kArrivalInterval;
+    REQUIRE(gate.arrive(make_arrival(ticket), now) == Admission::kStart);
+    gate.reject("k", now);
+  }
+  CHECK(gate.load(now).demand < 1);
+  CHECK(gate.running() == 0);
+}
+
+TEST_CASE("a rejection by a full server counts as demand") {
+  ServerGate gate = make_full_gate();
+  gate.finish("k", seconds{1});
+  (void)gate.arrive(make_arrival(3), kStart);
+  (void)gate.arrive(make_arrival(4), kStart);
+  const double demand = gate.load(kStart).demand;
+  gate.reject("k", kStart);
+  CHECK(gate.load(kStart).demand == doctest::Approx(demand));
+  CHECK(gate.running() == 1);
+}
+
 TEST_CASE("untracked requests on the server reduce the limit") {
   ServerGate gate({.usable_capacity_share = 1.0});
   gate.set_capacity(10);
