--- a/scripts/play_days.py
+++ b/scripts/play_days.py
@@ -12,7 +12,8 @@
   --keep DIR        also copy the reports of the days to DIR
 
 Days are played without charge for processor time, so that a run mostly repeats. Each variant runs in a copy of the
-committed tree; the journal entries are moved to `journal/` of this repository.
+committed tree, which the bench builds once (a compiler cache shortens this); the journal entries are copied to `journal/`
+of this repository.
 """
 import argparse
 import concurrent.futures
@@ -89,7 +90,10 @@
     if snapshot is None:
         raise RuntimeError(f"{site.stem} {day}: no result\n{result.stdout}{result.stderr}")
     (path,) = (tree / "journal").glob(f"*-{snapshot.group(1)}.json")
-    return path, json.loads(path.read_text(encoding="utf-8")), result.stdout
+    entry = json.loads(path.read_text(encoding="utf-8"))
+    if not entry["days"]:
+        raise RuntimeError(f"{site.stem} {day}: {entry['error']}")
+    return path, entry, result.stdout
 
 
 def print_table(variants, results):
@@ -116,10 +120,7 @@
         for number, (variant, policy) in enumerate(variants.items()):
             trees[variant] = pathlib.Path(directory) / f"tree-{number}"
             prepare_tree(trees[variant], policy)
-            if number == 0:
-                subprocess.run([arguments.bench, "build"], cwd=trees[variant], check=True, stdout=sys.stderr)
-            else:
-                shutil.copytree(trees[UNCHANGED] / "target", trees[variant] / "target", symlinks=True)
+            subprocess.run([arguments.bench, "build"], cwd=trees[variant], check=True, stdout=sys.stderr)
         with concurrent.futures.ThreadPoolExecutor(arguments.jobs) as pool:
             plays = {
                 pool.submit(play, arguments.bench, trees[variant], site, day, seed, f"{arguments.why}: {variant}"):
