Send a repeat that one daemon has no budget for to another one

The case that called such a refusal final is replaced: it moves on as often as any refused request, and then is final.

--- a/src/damaskthread/retry/next_step.cc
+++ b/src/damaskthread/retry/next_step.cc
@@ -44,7 +44,6 @@
   switch (outcome.verdict.cause) {
     case core::Cause::kQuarantined:
     case core::Cause::kDeadline:
-    case core::Cause::kRetryBound:
       return NextStep::kRefuse;
     default:
       break;
--- a/src/damaskthread/retry/next_step.h
+++ b/src/damaskthread/retry/next_step.h
@@ -54,7 +54,8 @@
 /// - a crash or a lost answer: an idempotent request runs again while the deadline allows;
 /// - a server that fails requests although its health check passes: the same;
 /// - servers that refuse part of their requests at random: the request is sent again, within the servers it may use
-///   and the repeat budget;
+///   and the repeat budget; a daemon without budget for it, such as one that restarted and lost its counts, is passed
+///   over for another one;
 /// - overload: nothing runs twice, and the caller is told at once;
 /// - lack of capacity deeper in the call tree: the failed run is not repeated. The refused call was already retried
 ///   where it was refused, and another run would repeat all of its calls for the same capacity.
