--- a/test/damaskthread/mesh/settings_test.cc
+++ b/test/damaskthread/mesh/settings_test.cc
@@ -62,6 +62,8 @@
       {replace_first(kCompleteSettings, "1.5s", "1.5"), "heartbeat: expected a number with the unit"},
       {replace_first(kCompleteSettings, "0.2", "-1"), "promises.repeat_ratio: expected a number"},
       {replace_first(kCompleteSettings, "\"name\"", "\"nmae\""), "nmae"},
+      {replace_first(kCompleteSettings, "\"promises\"", "\"policy\": {\"gate\": {\"share\": 1}}, \"promises\""),
+       "policy.gate.share: unknown"},
       {"{", "settings.json"}};
   for (const auto& [text, expected] : cases) {
     const ParseResult result = parse(text);
@@ -82,9 +84,10 @@
   loaded.promises.grace = std::chrono::seconds{10};
   loaded.promises.repeat_ratio = 0.5;
   loaded.memory_mb = 512;
+  loaded.policy.entrance.min_share = 1;
   const SettingsUpdate update = apply_reloadable(current, loaded);
   CHECK(update.applied == std::vector<std::string>{"local_server", "promises.grace", "service"});
-  CHECK(update.rejected == std::vector<std::string>{"memory_mb", "promises.repeat_ratio"});
+  CHECK(update.rejected == std::vector<std::string>{"memory_mb", "policy.entrance.min_share", "promises.repeat_ratio"});
   CHECK(current.service == "new");
   CHECK(current.local_server.port == 90);
   CHECK(current.promises.grace == std::chrono::seconds{10});
@@ -100,6 +103,9 @@
   CHECK(fleet_digest(one) == fleet_digest(other));
   other.promises.drain = std::chrono::seconds{3};
   CHECK(fleet_digest(one) != fleet_digest(other));
+  other = one;
+  other.policy.gate.usable_capacity_share = 0.5;
+  CHECK(fleet_digest(one) != fleet_digest(other));
 }
 
 }  // namespace damaskthread::mesh
--- a/test/damaskthread/peer/frame_test.cc
+++ b/test/damaskthread/peer/frame_test.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <boost/leaf/handle_errors.hpp>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,7 @@
   execute.priority = 2;
   execute.nested = true;
   execute.repeat = true;
+  execute.calls_left = 3;
   execute.time_left = milliseconds{1500};
   execute.max_wait = milliseconds{300};
   execute.sent_at = core::TimePoint(milliseconds{99});
@@ -73,6 +75,7 @@
   CHECK(execute.request.headers.size() == 2);
   CHECK(execute.request.body == std::string("\0\xff body", 7));
   CHECK(execute.repeat);
+  CHECK(execute.calls_left == 3);
 
   Result result;
   result.stream = 12;
@@ -113,6 +116,33 @@
   CHECK(round_trip(CrashNotice{{4, {1, 2}}}).report.running.size() == 2);
 }
 
+// Daemons of two versions run beside each other while a fleet is upgraded.
+TEST_CASE("a request from a daemon of the previous version is decoded") {
+  constexpr std::size_t kLengthBytes = 4;
+  std::string bytes;
+  append_frame(bytes, sample_execute());
+  const std::string body = sample_execute().request.body;
+  const std::size_t fields_end = bytes.size() - body.size();
+  nlohmann::json fields = nlohmann::json::from_cbor(bytes.begin() + 2 * kLengthBytes, bytes.begin() + fields_end);
+  fields.erase(fields.size() - 1);
+  const std::vector<std::uint8_t> encoded = nlohmann::json::to_cbor(fields);
+  std::string previous;
+  const auto append_length = [&previous](std::size_t length) {
+    for (int shift = 24; shift >= 0; shift -= 8) previous.push_back(static_cast<char>((length >> shift) & 0xFFU));
+  };
+  append_length(kLengthBytes + encoded.size() + body.size());
+  append_length(encoded.size());
+  previous.append(encoded.begin(), encoded.end()).append(body);
+  FrameReader reader;
+  reader.add(previous);
+  const ReadResult read_result = next(reader);
+  REQUIRE(read_result.message.has_value());
+  const auto& execute = std::get<Execute>(*read_result.message);
+  CHECK(execute.attempt_id == "a.b");
+  CHECK(execute.calls_left == 1);
+  CHECK(execute.request.body == body);
+}
+
 TEST_CASE("a load update is small, since each daemon sends it to many others several times a second") {
   std::string bytes;
   append_frame(bytes, LoadUpdate{100'000, {1000, 999, 500, milliseconds{250}, 1'600}});
