Keep every window of the bound on repeats that contains the present

The limit rested on the window that ended at the moment, half a window earlier or a window earlier; traffic that was high before and fell until the refusals began raised it above what the windows that begin later allow. Change: the limit is evaluated for each window that contains the present interval, with its own earlier windows. 0.9 of it is used instead of 0.95: the gates' limits rest on different windows while traffic moves between them.

--- a/src/damaskthread/retry/repeat_budget.cc
+++ b/src/damaskthread/retry/repeat_budget.cc
@@ -1,6 +1,7 @@
 #include "damaskthread/retry/repeat_budget.h"
 
 #include <algorithm>
+#include <limits>
 #include <numeric>
 
 namespace damaskthread::retry {
@@ -52,24 +53,42 @@
   const core::Duration step = length / kStepsPerInterval;
   while (now - step_start_ >= step) {
     step_start_ += step;
-    adjust_threshold(now);
+    adjust_threshold();
   }
 }
 
-double RepeatBudget::step_allowance(core::TimePoint now) const noexcept {
-  const double limit = window_limit(now);
-  const double remaining = std::max(0.0, limit - repeats_in_window());
-  return std::max(options_.interval_fraction * remaining, limit / kIntervals) / kStepsPerInterval;
+RepeatBudget::Room RepeatBudget::room() const noexcept {
+  // Number of first attempts in the intervals from `newest` to `oldest`, counted back from the current one.
+  const auto first_attempts = [this](std::size_t newest, std::size_t oldest) {
+    double total = 0;
+    for (std::size_t ago = newest; ago <= oldest; ++ago) total += interval(ago).first_attempts;
+    return total;
+  };
+  constexpr std::size_t kHalf = kIntervals / 2;
+  Room room{0, std::numeric_limits<double>::max()};
+  double repeats = 0;
+  for (std::size_t begin = 0; begin <= kIntervals; ++begin) {
+    repeats += interval(begin).repeats;
+    const std::size_t half_end = begin < kHalf ? 0 : begin - kHalf + 1;
+    const double first = std::max({first_attempts(0, begin), first_attempts(half_end, begin + kHalf),
+                                   first_attempts(begin + 1, begin + kIntervals)});
+    room.limit = options_.limit_fraction * (options_.ratio * first + slack_);
+    room.left = std::min(room.left, room.limit - repeats);
+  }
+  room.left = std::max(0.0, room.left);
+  return room;
 }
 
-void RepeatBudget::adjust_threshold(core::TimePoint now) noexcept {
+void RepeatBudget::adjust_threshold() noexcept {
   const double last_demand = sum(step_demand_);
   for (std::size_t i = 0; i < kRankBuckets; ++i) {
     mean_demand_[i] += options_.smoothing * (step_demand_[i] - mean_demand_[i]);
   }
   step_demand_.fill(0);
   ordinary_in_step_ = 0;
-  const double allowance = step_allowance(now);
+  const Room available = room();
+  const double allowance =
+      std::max(options_.interval_fraction * available.left, available.limit / kIntervals) / kStepsPerInterval;
   const bool overload_over = kRepeatsPerRequest * std::max(last_demand, sum(mean_demand_)) <= allowance;
   threshold_ =
       overload_over ? 1 : std::min(rank_within(mean_demand_, allowance), threshold_ + options_.max_threshold_rise);
@@ -84,27 +103,6 @@
   return intervals_[(current_ + intervals_.size() - ago) % intervals_.size()];
 }
 
-double RepeatBudget::first_attempts(std::size_t ago, core::TimePoint now) const noexcept {
-  // The window ends within one interval and begins within another; both count by the part that lies in the window.
-  const double elapsed = std::chrono::duration<double>(now - interval_start_) /
-                         std::chrono::duration<double>(options_.window / kIntervals);
-  double total = (ago == 0 ? 1 : elapsed) * interval(ago).first_attempts;
-  for (std::size_t i = 1; i < kIntervals; ++i) total += interval(ago + i).first_attempts;
-  return total + (1 - elapsed) * interval(ago + kIntervals).first_attempts;
-}
-
-double RepeatBudget::window_limit(core::TimePoint now) const noexcept {
-  const double max_first_attempts =
-      std::max({first_attempts(0, now), first_attempts(kIntervals / 2, now), first_attempts(kIntervals, now)});
-  return options_.limit_fraction * (options_.ratio * max_first_attempts + slack_);
-}
-
-double RepeatBudget::repeats_in_window() const noexcept {
-  double total = 0;
-  for (std::size_t i = 0; i <= kIntervals; ++i) total += interval(i).repeats;
-  return total;
-}
-
 double RepeatBudget::rank_of(const RepeatPriority& priority) const noexcept {
   const int levels = std::max(1, options_.progress_levels);
   const int level = std::clamp(priority.calls_left, 1, levels) - 1;
@@ -119,13 +117,12 @@
   const double rank = rank_of(priority);
   step_demand_[std::min(kRankBuckets - 1, static_cast<std::size_t>(rank * kRankBuckets))] += 1;
   if (rank >= threshold_) return false;
-  const double limit = window_limit(now);
-  const double repeats = repeats_in_window() + 1;
-  if (repeats > limit) return false;
+  const Room available = room();
+  if (available.left < 1) return false;
   if (priority.priority > 0) {
-    if (repeats > options_.ordinary_fraction * limit) return false;
+    if (available.left - 1 < (1 - options_.ordinary_fraction) * available.limit) return false;
     // One repeat in a step is always possible: the share of a small server may be less than one.
-    if (ordinary_in_step_ > options_.ordinary_step_fraction * limit) return false;
+    if (ordinary_in_step_ > options_.ordinary_step_fraction * available.limit) return false;
     ordinary_in_step_ += 1;
   }
   intervals_[current_].repeats += 1;
--- a/src/damaskthread/retry/repeat_budget.h
+++ b/src/damaskthread/retry/repeat_budget.h
@@ -18,8 +18,9 @@
   core::Duration window = std::chrono::seconds{10};
   /// Repeats allowed for the whole service in a window in addition to the ratio.
   double slack = 0;
-  /// Fraction of the limit that is used. The rest covers daemons that restarted and lost their counts.
-  double limit_fraction = 0.95;
+  /// Fraction of the limit that is used. The rest covers daemons that restarted and lost their counts, and traffic that
+  /// moves between servers, whose limits rest on the window that suits each best.
+  double limit_fraction = 0.9;
   /// Maximum fraction of the window limit for repeats of requests that do not have the highest priority.
   double ordinary_fraction = 0.85;
   /// The same for one step, as a fraction of the window limit, so that the start of an overload, before the threshold
@@ -81,20 +82,22 @@
 
   void advance(core::TimePoint now) noexcept;
   /// Sets the threshold, at the end of a step, so that the expected demand below it fits into the allowance.
-  void adjust_threshold(core::TimePoint now) noexcept;
+  void adjust_threshold() noexcept;
   /// Order in which repeats are allowed, from 0 to 1: by priority, then by calls left, then by sample.
   [[nodiscard]] double rank_of(const RepeatPriority& priority) const noexcept;
-  /// Repeats that one step may spend while demand exceeds the budget.
-  [[nodiscard]] double step_allowance(core::TimePoint now) const noexcept;
-  /// Repeats that may reach the server in a window. The limit is based on the largest number of first attempts in the
-  /// window that ends now, half a window ago or a window ago, since first attempts decrease during a failure.
-  [[nodiscard]] double window_limit(core::TimePoint now) const noexcept;
-  /// Repeats accepted in the current window.
-  [[nodiscard]] double repeats_in_window() const noexcept;
+  /// Budget for repeats.
+  struct Room {
+    /// Repeats that may reach the server in a window that ends now.
+    double limit = 0;
+    /// Repeats that may still reach it now.
+    double left = 0;
+  };
+  /// Evaluates the limit for every window that contains the current interval, since each of them must stay within it.
+  /// The limit of a window is based on the largest number of first attempts in the window, half a window earlier or a
+  /// window earlier, since first attempts decrease during a failure.
+  [[nodiscard]] Room room() const noexcept;
   /// Interval that began `ago` intervals ago; 0 is the current one.
   [[nodiscard]] const Interval& interval(std::size_t ago) const noexcept;
-  /// First attempts in the window that ended `ago` intervals ago.
-  [[nodiscard]] double first_attempts(std::size_t ago, core::TimePoint now) const noexcept;
 
   RepeatBudgetOptions options_;
   core::TimePoint started_at_;
@@ -102,7 +105,7 @@
   core::TimePoint step_start_;
   /// This server's fraction of the slack.
   double slack_ = 0;
-  // Two windows plus one interval, since the current interval is incomplete.
+  // Two windows, since the limit may depend on the previous one, and the current interval.
   std::array<Interval, 2 * kIntervals + 1> intervals_{};
   std::size_t current_ = 0;
   /// Repeats requested in the current step, whether allowed or not.
--- a/test/damaskthread/retry/repeat_budget_test.cc
+++ b/test/damaskthread/retry/repeat_budget_test.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <numeric>
 #include <random>
 #include <utility>
 #include <vector>
@@ -65,6 +66,37 @@
   }));
 }
 
+// Load replay: traffic is high for a while, normal before a failure, and half of it during the failure, in which every
+// request asks for repeats.
+TEST_CASE("traffic that decreased before a failure does not raise the limit of the windows after it") {
+  constexpr int kStepMs = 10;
+  constexpr int kFailureMs = 13'000;
+  constexpr int kEndMs = 24'000;
+  RepeatBudget budget({.ratio = 0.2, .window = seconds{10}, .slack = 0}, kStart);
+  std::vector<double> first_attempts;
+  std::vector<double> repeats;
+  for (int ms = 0; ms < kEndMs; ms += kStepMs) {
+    const core::TimePoint now = kStart + milliseconds{ms};
+    const int arrivals = ms >= kFailureMs ? 10 : ms < 8'000 ? 30 : 20;
+    for (int i = 0; i < arrivals; ++i) budget.on_first_attempt(now);
+    first_attempts.push_back(arrivals);
+    repeats.push_back(0);
+    if (ms < kFailureMs) continue;
+    for (int i = 0; i < arrivals; ++i) repeats.back() += budget.allow(now, 1, {.priority = kImportant}) ? 1 : 0;
+  }
+  const int window = 10'000 / kStepMs;
+  const auto sum = [&](const std::vector<double>& counts, int begin) {
+    const int from = std::clamp(begin, 0, static_cast<int>(counts.size()));
+    const int to = std::clamp(begin + window, 0, static_cast<int>(counts.size()));
+    return std::accumulate(counts.begin() + from, counts.begin() + to, 0.0);
+  };
+  for (int begin = 0; begin + window <= static_cast<int>(repeats.size()); ++begin) {
+    const double most_first_attempts = std::max(
+        {sum(first_attempts, begin), sum(first_attempts, begin - window / 2), sum(first_attempts, begin - window)});
+    CHECK_MESSAGE(sum(repeats, begin) <= 0.2 * most_first_attempts, "window at ", begin * kStepMs, " ms");
+  }
+}
+
 TEST_CASE("a daemon does not use the slack in the first window after its start") {
   RepeatBudget budget(kOptions, kStart);
   CHECK(!budget.allow(kStart + seconds{1}, 3, {.priority = kImportant}));
