Refuse a request that may run once while a service that it calls has no server

Change: an ingress that has seen servers of a needed service and sees none now refuses requests that may run once, with Retry-After. Idempotent ones run as before: their callers repeat them, and not every run need make the call.

--- a/src/damaskthread/mesh/ingress.cc
+++ b/src/damaskthread/mesh/ingress.cc
@@ -123,7 +123,8 @@
     cancel_placements(*exchange);
     exchanges_.erase(exchange->number);
   });
-  if (!admit(*exchange, time)) return refuse(exchange, core::Cause::kOverload);
+  const core::Cause refused = admit(*exchange, time);
+  if (refused != core::Cause::kNone) return refuse(exchange, refused);
   place(exchange, time);
 }
 
@@ -151,8 +152,8 @@
   return services;
 }
 
-bool Ingress::admit(Exchange& exchange, core::TimePoint now) {
-  if (exchange.inner) return true;
+core::Cause Ingress::admit(Exchange& exchange, core::TimePoint now) {
+  if (exchange.inner) return core::Cause::kNone;
   const std::vector<std::string> needed = needed_services(exchange, now);
   for (const std::string& service : needed) interests_.record_observation(service, now);
   const entrance::Throttle::Limit limit = throttle_.limit(needed, exchange.priority);
@@ -160,7 +161,15 @@
   throttle_.record_offered(needed, exchange.priority, limit.share);
   exchange.admitted_share = limit.share;
   exchange.limited_by = limit.service;
-  return is_admitted;
+  if (!is_admitted) return core::Cause::kOverload;
+  if (exchange.route->idempotent) return core::Cause::kNone;
+  // A run that fails is lost to its caller, unlike a request that has not run yet.
+  const auto lost = std::find_if(needed.begin() + 1, needed.end(), [this](const std::string& service) {
+    return dependencies_.pool.lost_all_servers(service);
+  });
+  if (lost == needed.end()) return core::Cause::kNone;
+  exchange.limited_by = *lost;
+  return core::Cause::kNoServer;
 }
 
 std::string Ingress::describe_pressure() const {
--- a/src/damaskthread/mesh/ingress.h
+++ b/src/damaskthread/mesh/ingress.h
@@ -126,8 +126,9 @@
                        core::Duration retry_after);
   /// Finds the running request that made this call and takes over its repeat flag, and its priority if that is higher.
   void inherit_from_parent(Exchange& exchange, core::TimePoint now);
-  /// Decides whether a new request passes the throttle, and counts it there.
-  [[nodiscard]] bool admit(Exchange& exchange, core::TimePoint now);
+  /// Decides whether a new request is admitted, and counts it at the throttle.
+  /// @return The cause of a refusal, or `kNone`.
+  [[nodiscard]] core::Cause admit(Exchange& exchange, core::TimePoint now);
   [[nodiscard]] std::optional<std::string> choose(const Exchange& exchange, core::TimePoint now);
   /// Sends the request to a server, or leaves it to `tick` if none can be reached yet.
   void place(const ExchangePointer& exchange, core::TimePoint now);
