Refuse for a lost service only if no part of a split can serve the call

Cause: a call of a kind that is split between services can still be served by the other parts. Change: an ingress looks at each kind that the request's runs call and refuses only if all its parts have lost their servers.

--- a/src/damaskthread/mesh/ingress.cc
+++ b/src/damaskthread/mesh/ingress.cc
@@ -164,14 +164,24 @@
   if (!is_admitted) return core::Cause::kOverload;
   if (exchange.route->idempotent) return core::Cause::kNone;
   // A run that fails is lost to its caller, unlike a request that has not run yet.
-  const auto lost = std::find_if(needed.begin() + 1, needed.end(), [this](const std::string& service) {
-    return dependencies_.pool.lost_all_servers(service);
-  });
-  if (lost == needed.end()) return core::Cause::kNone;
-  exchange.limited_by = *lost;
+  const std::string lost_service = find_lost_service(exchange, now);
+  if (lost_service.empty()) return core::Cause::kNone;
+  exchange.limited_by = lost_service;
   return core::Cause::kNoServer;
 }
 
+std::string Ingress::find_lost_service(const Exchange& exchange, core::TimePoint now) const {
+  for (const std::string& kind : dependencies_.graph.reachable_kinds(exchange.route->name, now)) {
+    const route::Route* const route = exchange.table->find_by_name(kind);
+    if (route == nullptr || route == exchange.route || route->parts.empty()) continue;
+    const bool lost = std::all_of(route->parts.begin(), route->parts.end(), [this](const auto& part) {
+      return dependencies_.pool.lost_all_servers(part.service);
+    });
+    if (lost) return route->parts.front().service;
+  }
+  return {};
+}
+
 std::string Ingress::describe_pressure() const {
   std::string text;
   if (table_ == nullptr) return text;
--- a/src/damaskthread/mesh/ingress.h
+++ b/src/damaskthread/mesh/ingress.h
@@ -154,6 +154,8 @@
   [[nodiscard]] core::Duration retry_delay(const Exchange& exchange, core::TimePoint now);
   /// The request's service and those that its nested calls are known to reach.
   [[nodiscard]] std::vector<std::string> needed_services(const Exchange& exchange, core::TimePoint now) const;
+  /// Service of a kind that the request's runs call and that no server can serve any more; empty if there is none.
+  [[nodiscard]] std::string find_lost_service(const Exchange& exchange, core::TimePoint now) const;
   [[nodiscard]] bool overloaded(const Exchange& exchange, core::TimePoint now) const;
 
   Dependencies dependencies_;
