Count every arrival at a gate as demand

Cause: a request that another gate had refused did not count as demand, lest it count twice. Change: the flag is gone from the gate and the request between daemons, whose position in the frame stays for the previous version.

--- a/src/damaskthread/gate/server_gate.cc
+++ b/src/damaskthread/gate/server_gate.cc
@@ -35,8 +35,7 @@
 
 Admission ServerGate::arrive(const Arrival& arrival, core::TimePoint now) {
   if (capacity_ <= 0) return Admission::kRefuse;
-  const double counted = arrival.rerouted ? options_.rerouted_demand : 1;
-  demand_.add(std::chrono::duration_cast<core::Duration>(counted * mean_run_time(arrival.kind)), now);
+  demand_.add(mean_run_time(arrival.kind), now);
   const auto needed =
       std::chrono::duration_cast<core::Duration>(options_.min_run_time_share * mean_run_time(arrival.kind));
   const core::TimePoint latest_start = std::min(arrival.deadline - needed, now + arrival.max_wait);
--- a/src/damaskthread/gate/server_gate.h
+++ b/src/damaskthread/gate/server_gate.h
@@ -28,8 +28,6 @@
   int priority = 0;
   /// Sent by a running request; refusing it would waste the work already done for that request.
   bool nested = false;
-  /// Already refused, and counted as demand, by another server's gate.
-  bool rerouted = false;
   /// Requests of the same kind are expected to have similar run times.
   std::string kind;
   core::TimePoint deadline;
@@ -60,8 +58,6 @@
   double min_run_time_share = 0.5;
   /// Number of priorities by which the queue is ordered; less important ones are equal to the last.
   int queue_priorities = 3;
-  /// Part of a request that counts as demand although another gate refused it and counted it already.
-  double rerouted_demand = 0;
 };
 
 /// @brief Owns the slots of one server. All requests to the server pass through it, so that the server never receives
--- a/src/damaskthread/mesh/ingress.cc
+++ b/src/damaskthread/mesh/ingress.cc
@@ -235,7 +235,6 @@
   execute.idempotent = exchange->route->idempotent;
   execute.priority = exchange->priority;
   execute.nested = exchange->inner;
-  execute.rerouted = exchange->refusals > 0 || exchange->sends > 0;
   execute.repeat = exchange->repeat || exchange->sends > 0;
   execute.calls_left = exchange->calls_left;
   execute.time_left = exchange->response_deadline - now;
--- a/src/damaskthread/mesh/local_executor.cc
+++ b/src/damaskthread/mesh/local_executor.cc
@@ -155,7 +155,6 @@
   arrival.ticket = {next_ticket_++};
   arrival.priority = run->execute.priority;
   arrival.nested = run->execute.nested;
-  arrival.rerouted = run->execute.rerouted;
   arrival.kind = run->execute.kind;
   arrival.deadline = run->deadline;
   arrival.max_wait = run->execute.max_wait;
--- a/src/damaskthread/mesh/policy.cc
+++ b/src/damaskthread/mesh/policy.cc
@@ -47,8 +47,7 @@
 constexpr Option<GateOptions> kGateOptions[] = {{"usable_capacity_share", &GateOptions::usable_capacity_share, 0.01, 1},
                                                 {"smoothing", &GateOptions::smoothing, 0.001, 1},
                                                 {"min_run_time_share", &GateOptions::min_run_time_share, 0, 10},
-                                                {"queue_priorities", &GateOptions::queue_priorities, 1, kMaxCount},
-                                                {"rerouted_demand", &GateOptions::rerouted_demand, 0, 1}};
+                                                {"queue_priorities", &GateOptions::queue_priorities, 1, kMaxCount}};
 
 using overlay::LinkPlanOptions;
 constexpr Option<LinkPlanOptions> kLinkOptions[] = {
--- a/src/damaskthread/peer/frame.cc
+++ b/src/damaskthread/peer/frame.cc
@@ -19,6 +19,8 @@
 using Json = nlohmann::json;
 using std::chrono::milliseconds;
 
+// Position of a field that only daemons of the previous version read.
+constexpr bool kUnusedField = false;
 constexpr double kDemandScale = 10;
 constexpr std::size_t kLengthBytes = 4;
 // Read offset above which the buffer is compacted.
@@ -86,7 +88,7 @@
     return Json::array({1, execute.stream, execute.attempt_id, execute.service, execute.kind, execute.caller_service,
                         execute.idempotent, execute.priority, execute.nested, execute.repeat, to_ms(execute.time_left),
                         to_ms(execute.max_wait), to_us(execute.sent_at.time_since_epoch()), execute.request.method,
-                        execute.request.target, encode(execute.request.headers), execute.rerouted, execute.calls_left});
+                        execute.request.target, encode(execute.request.headers), kUnusedField, execute.calls_left});
   }
   Json operator()(const Result& result) const {
     return Json::array({2, result.stream, static_cast<int>(result.verdict.execution),
@@ -143,7 +145,6 @@
   execute.request.method = fields.at(13).get<std::string>();
   execute.request.target = fields.at(14).get<std::string>();
   execute.request.headers = decode_headers(fields.at(15));
-  execute.rerouted = fields.at(16).get<bool>();
   // Absent in frames of daemons of the previous version.
   if (fields.size() > 17) execute.calls_left = std::max(1, fields.at(17).get<int>());
   execute.request.body = std::move(body);
--- a/src/damaskthread/peer/message.h
+++ b/src/damaskthread/peer/message.h
@@ -56,8 +56,6 @@
   bool nested = false;
   /// The request was sent to a server before, or the run that made it is itself a repeat.
   bool repeat = false;
-  /// Another daemon or its server has just refused the request.
-  bool rerouted = false;
   /// Expected number of calls that the call tree of the request still has to make, this one included.
   int calls_left = 1;
   core::Duration time_left{0};
