--- a/src/damaskthread/mesh/policy.cc
+++ b/src/damaskthread/mesh/policy.cc
@@ -1,6 +1,7 @@
 #include "damaskthread/mesh/policy.h"
 
 #include <chrono>
+#include <cmath>
 #include <cstddef>
 #include <nlohmann/json.hpp>
 #include <span>
@@ -127,6 +128,12 @@
                                   format_number(option.max_value));
     return;
   }
+  const bool counts = std::holds_alternative<int Options::*>(option.member) ||
+                      std::holds_alternative<std::size_t Options::*>(option.member);
+  if (counts && std::trunc(value->get<double>()) != value->get<double>()) {
+    reader.error(option.name, "expected a whole number");
+    return;
+  }
   std::visit([&](const auto member) { assign(options.*member, value->get<double>()); }, option.member);
 }
 
--- a/src/damaskthread/placement/server_pool.h
+++ b/src/damaskthread/placement/server_pool.h
@@ -43,8 +43,9 @@
   /// Cost of leaving the local failure domain, in mean run times. Traffic between failure domains is billed to the
   /// operators of callers; one additional run time is rarely noticed while latency is far below the objective.
   double cross_zone_cost = 1.4;
-  /// Weight of a run time that equals the latency objective, relative to the weight of congestion, at most 1: requests
-  /// that finish far below their objective leave the fast servers to those that need them.
+  /// Weight of a run time that takes the whole latency objective, relative to the weight of congestion; shorter ones
+  /// weigh less in proportion, and no weight exceeds 1. Requests that finish far below their objective leave the fast
+  /// servers to those that need them.
   double run_time_weight = 4.0;
   /// Smallest weight of a run time; with 1, it does not depend on the objective.
   double min_run_time_weight = 0.25;
--- a/test/damaskthread/mesh/policy_test.cc
+++ b/test/damaskthread/mesh/policy_test.cc
@@ -45,6 +45,8 @@
             .errors.find("policy.gate.usable_capacity_share: expected a "
                          "number from 0.01 to 1") != std::string::npos);
   CHECK(read(R"({"gate": {"smoothing": "x"}})").errors.find("policy.gate.smoothing: expected") != std::string::npos);
+  CHECK(read(R"({"requests": {"max_hedges": 1.5}})").errors.find("policy.requests.max_hedges: expected a whole") !=
+        std::string::npos);
   CHECK(read(R"({"gate": 3})").errors.find("policy.gate: expected an object") != std::string::npos);
 }
 
