Test the calls left and the demand of rejected requests at the executor

Cause: both were tested in the core only, not where the executor puts them together. Change: two cases of local_executor_test. Result: test_mesh passes; without the removal from the demand the second one fails, since the rejected run's mean stays.

--- a/test/damaskthread/mesh/local_executor_test.cc
+++ b/test/damaskthread/mesh/local_executor_test.cc
@@ -397,6 +397,43 @@
   }
 }
 
+TEST_CASE("a nested call learns how many calls its tree has left") {
+  constexpr int kCalls = 3;
+  ExecutorFixture fixture;
+  std::vector<int> calls_left;
+  fixture.server.script = [&](const http::Request& request, ScriptedServer::Connection& connection) {
+    const std::string attempt(http::find(request.headers, "Attempt"));
+    for (int call = 0; call < kCalls; ++call) {
+      calls_left.push_back(fixture.executor.running_attempt(attempt)->calls_left);
+      fixture.executor.record_served_call(attempt);
+    }
+    connection.write(answer(request, "done"));
+  };
+  (void)fixture.execute_and_wait(ExecutorFixture::request(1));
+  CHECK(calls_left == std::vector<int>{1, 1, 1});  // Nothing is known about the kind yet.
+  calls_left.clear();
+  peer::Execute nested = ExecutorFixture::request(2);
+  nested.calls_left = 5;  // Four calls of its ancestors follow.
+  (void)fixture.execute_and_wait(std::move(nested));
+  CHECK(calls_left == std::vector<int>{7, 6, 5});
+}
+
+TEST_CASE("a rejection by the server with free slots leaves no demand") {
+  ExecutorFixture fixture;
+  bool reject = false;
+  fixture.server.script = [&](const http::Request& request, ScriptedServer::Connection& connection) {
+    std::string response = answer(request, "", reject ? "Not-Run: 1\r\n" : "");
+    connection.write(reject ? response.replace(response.find("200 OK"), 6, "503 No") : response);
+  };
+  (void)fixture.execute_and_wait(ExecutorFixture::request(1));
+  reject = true;
+  const double demand = fixture.executor.load(now()).demand;
+  const peer::Result result = fixture.execute_and_wait(ExecutorFixture::request(2));
+  CHECK(result.verdict.execution == core::Execution::kNotRun);
+  CHECK(result.reached_server);
+  CHECK(fixture.executor.load(now()).demand <= demand);
+}
+
 TEST_CASE("resending a request after its connection broke is charged to the repeat budget") {
   ExecutorFixture fixture(0);
   int arrivals = 0;
