--- a/test/damaskthread/peer/frame_test.cc
+++ b/test/damaskthread/peer/frame_test.cc
@@ -6,6 +6,7 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "damaskthread/core/error.h"
@@ -122,8 +123,9 @@
   std::string bytes;
   append_frame(bytes, sample_execute());
   const std::string body = sample_execute().request.body;
-  const std::size_t fields_end = bytes.size() - body.size();
-  nlohmann::json fields = nlohmann::json::from_cbor(bytes.begin() + 2 * kLengthBytes, bytes.begin() + fields_end);
+  const std::string_view frame = bytes;
+  const std::string_view frame_fields = frame.substr(2 * kLengthBytes, frame.size() - 2 * kLengthBytes - body.size());
+  nlohmann::json fields = nlohmann::json::from_cbor(frame_fields.begin(), frame_fields.end());
   fields.erase(fields.size() - 1);
   const std::vector<std::uint8_t> encoded = nlohmann::json::to_cbor(fields);
   std::string previous;
