Move the member list's entry out of the daemon's file

Change: mesh/member_entry. MemberEntry is written and read by the same type; serialize_member is now serialize.

--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -24,6 +24,7 @@
 #include "damaskthread/mesh/http_listener.h"
 #include "damaskthread/mesh/ingress.h"
 #include "damaskthread/mesh/local_executor.h"
+#include "damaskthread/mesh/member_entry.h"
 #include "damaskthread/mesh/peer_listener.h"
 #include "damaskthread/mesh/store_client.h"
 #include "damaskthread/metrics/registry.h"
@@ -78,26 +79,6 @@
 
 http::Endpoint to_http_endpoint(const settings::Endpoint& endpoint) { return {endpoint.host, endpoint.port}; }
 
-// Encodes the entry of a daemon in the member list.
-std::string serialize_member(const std::string& zone, const std::string& service, const std::string& departed_server) {
-  return Json{{"zone", zone}, {"service", service}, {"left", departed_server}}.dump();
-}
-
-struct MemberEntry {
-  std::string zone;
-  std::string service;
-  std::string departed_server;
-};
-
-std::optional<MemberEntry> parse_member_entry(const std::string& value) {
-  const Json entry = Json::parse(value, nullptr, false);
-  if (!entry.is_object() || !entry.contains("zone") || !entry["zone"].is_string()) return std::nullopt;
-  MemberEntry member{entry["zone"].get<std::string>(), "", ""};
-  if (entry.contains("service") && entry["service"].is_string()) member.service = entry["service"].get<std::string>();
-  if (entry.contains("left") && entry["left"].is_string()) member.departed_server = entry["left"].get<std::string>();
-  return member;
-}
-
 }  // namespace
 
 struct Daemon::Impl {
@@ -228,7 +209,7 @@
   }
 
   void write_member_entry() {
-    store_client.put_member(self, serialize_member(settings.zone, settings.service, departed_server));
+    store_client.put_member(self, serialize({settings.zone, settings.service, departed_server}));
   }
 
   bool apply_configuration(const std::string& document, std::string_view source) {
