Find the routes of nested calls in one place

Cause: needed_services and find_lost_service walked the call graph with the same loop. Change: called_routes, used by both. Conclusion: kept; no change of any decision.

--- a/src/damaskthread/mesh/ingress.cc
+++ b/src/damaskthread/mesh/ingress.cc
@@ -140,11 +140,18 @@
   dependencies_.graph.record_call(parent->kind, exchange.route->name, true, now);
 }
 
-std::vector<std::string> Ingress::needed_services(const Exchange& exchange, core::TimePoint now) const {
-  std::vector<std::string> services{exchange.service};
+std::vector<const route::Route*> Ingress::called_routes(const Exchange& exchange, core::TimePoint now) const {
+  std::vector<const route::Route*> routes;
   for (const std::string& kind : dependencies_.graph.reachable_kinds(exchange.route->name, now)) {
     const route::Route* const route = exchange.table->find_by_name(kind);
-    if (route == nullptr || route == exchange.route) continue;
+    if (route != nullptr && route != exchange.route) routes.push_back(route);
+  }
+  return routes;
+}
+
+std::vector<std::string> Ingress::needed_services(const Exchange& exchange, core::TimePoint now) const {
+  std::vector<std::string> services{exchange.service};
+  for (const route::Route* const route : called_routes(exchange, now)) {
     for (const route::WeightedService& part : route->parts) {
       if (std::find(services.begin(), services.end(), part.service) == services.end()) services.push_back(part.service);
     }
@@ -171,9 +178,8 @@
 }
 
 std::string Ingress::find_lost_service(const Exchange& exchange, core::TimePoint now) const {
-  for (const std::string& kind : dependencies_.graph.reachable_kinds(exchange.route->name, now)) {
-    const route::Route* const route = exchange.table->find_by_name(kind);
-    if (route == nullptr || route == exchange.route || route->parts.empty()) continue;
+  for (const route::Route* const route : called_routes(exchange, now)) {
+    if (route->parts.empty()) continue;
     const bool lost = std::all_of(route->parts.begin(), route->parts.end(), [this](const auto& part) {
       return dependencies_.pool.lost_all_servers(part.service);
     });
--- a/src/damaskthread/mesh/ingress.h
+++ b/src/damaskthread/mesh/ingress.h
@@ -152,9 +152,11 @@
   void finish(const ExchangePointer& exchange, http::Response response, std::string_view outcome, core::Cause cause);
   /// Value of Retry-After for a refused request.
   [[nodiscard]] core::Duration retry_delay(const Exchange& exchange, core::TimePoint now);
+  /// Routes of the nested calls that runs of the request's kind are known to make, directly or transitively.
+  [[nodiscard]] std::vector<const route::Route*> called_routes(const Exchange& exchange, core::TimePoint now) const;
   /// The request's service and those that its nested calls are known to reach.
   [[nodiscard]] std::vector<std::string> needed_services(const Exchange& exchange, core::TimePoint now) const;
-  /// Service of a kind that the request's runs call and that no server can serve any more; empty if there is none.
+  /// Service of a nested call that no server can serve any more; empty if there is none.
   [[nodiscard]] std::string find_lost_service(const Exchange& exchange, core::TimePoint now) const;
   [[nodiscard]] bool overloaded(const Exchange& exchange, core::TimePoint now) const;
 
