Revert the refusal while a called service has lost all servers

Change: find_lost_service, called_routes and lost_all_servers go, with the three test cases that tested just them. Conclusion: reverted: a gain counts only where users are served better.

--- a/src/damaskthread/mesh/ingress.cc
+++ b/src/damaskthread/mesh/ingress.cc
@@ -123,8 +123,7 @@
     cancel_placements(*exchange);
     exchanges_.erase(exchange->number);
   });
-  const core::Cause refused = admit(*exchange, time);
-  if (refused != core::Cause::kNone) return refuse(exchange, refused);
+  if (!admit(*exchange, time)) return refuse(exchange, core::Cause::kOverload);
   place(exchange, time);
 }
 
@@ -140,18 +139,11 @@
   dependencies_.graph.record_call(parent->kind, exchange.route->name, true, now);
 }
 
-std::vector<const route::Route*> Ingress::called_routes(const Exchange& exchange, core::TimePoint now) const {
-  std::vector<const route::Route*> routes;
-  for (const std::string& kind : dependencies_.graph.reachable_kinds(exchange.route->name, now)) {
-    const route::Route* const route = exchange.table->find_by_name(kind);
-    if (route != nullptr && route != exchange.route) routes.push_back(route);
-  }
-  return routes;
-}
-
 std::vector<std::string> Ingress::needed_services(const Exchange& exchange, core::TimePoint now) const {
   std::vector<std::string> services{exchange.service};
-  for (const route::Route* const route : called_routes(exchange, now)) {
+  for (const std::string& kind : dependencies_.graph.reachable_kinds(exchange.route->name, now)) {
+    const route::Route* const route = exchange.table->find_by_name(kind);
+    if (route == nullptr || route == exchange.route) continue;
     for (const route::WeightedService& part : route->parts) {
       if (std::find(services.begin(), services.end(), part.service) == services.end()) services.push_back(part.service);
     }
@@ -159,8 +151,8 @@
   return services;
 }
 
-core::Cause Ingress::admit(Exchange& exchange, core::TimePoint now) {
-  if (exchange.inner) return core::Cause::kNone;
+bool Ingress::admit(Exchange& exchange, core::TimePoint now) {
+  if (exchange.inner) return true;
   const std::vector<std::string> needed = needed_services(exchange, now);
   for (const std::string& service : needed) interests_.record_observation(service, now);
   const entrance::Throttle::Limit limit = throttle_.limit(needed, exchange.priority);
@@ -168,24 +160,7 @@
   throttle_.record_offered(needed, exchange.priority, limit.share);
   exchange.admitted_share = limit.share;
   exchange.limited_by = limit.service;
-  if (!is_admitted) return core::Cause::kOverload;
-  if (exchange.route->idempotent) return core::Cause::kNone;
-  // A run that fails is lost to its caller, unlike a request that has not run yet.
-  const std::string lost_service = find_lost_service(exchange, now);
-  if (lost_service.empty()) return core::Cause::kNone;
-  exchange.limited_by = lost_service;
-  return core::Cause::kNoServer;
-}
-
-std::string Ingress::find_lost_service(const Exchange& exchange, core::TimePoint now) const {
-  for (const route::Route* const route : called_routes(exchange, now)) {
-    if (route->parts.empty()) continue;
-    const bool lost = std::all_of(route->parts.begin(), route->parts.end(), [this](const auto& part) {
-      return dependencies_.pool.lost_all_servers(part.service);
-    });
-    if (lost) return route->parts.front().service;
-  }
-  return {};
+  return is_admitted;
 }
 
 std::string Ingress::describe_pressure() const {
--- a/src/damaskthread/mesh/ingress.h
+++ b/src/damaskthread/mesh/ingress.h
@@ -126,9 +126,8 @@
                        core::Duration retry_after);
   /// Finds the running request that made this call and takes over its repeat flag, and its priority if that is higher.
   void inherit_from_parent(Exchange& exchange, core::TimePoint now);
-  /// Decides whether a new request is admitted, and counts it at the throttle.
-  /// @return The cause of a refusal, or `kNone`.
-  [[nodiscard]] core::Cause admit(Exchange& exchange, core::TimePoint now);
+  /// Decides whether a new request passes the throttle, and counts it there.
+  [[nodiscard]] bool admit(Exchange& exchange, core::TimePoint now);
   [[nodiscard]] std::optional<std::string> choose(const Exchange& exchange, core::TimePoint now);
   /// Sends the request to a server, or leaves it to `tick` if none can be reached yet.
   void place(const ExchangePointer& exchange, core::TimePoint now);
@@ -152,12 +151,8 @@
   void finish(const ExchangePointer& exchange, http::Response response, std::string_view outcome, core::Cause cause);
   /// Value of Retry-After for a refused request.
   [[nodiscard]] core::Duration retry_delay(const Exchange& exchange, core::TimePoint now);
-  /// Routes of the nested calls that runs of the request's kind are known to make, directly or transitively.
-  [[nodiscard]] std::vector<const route::Route*> called_routes(const Exchange& exchange, core::TimePoint now) const;
   /// The request's service and those that its nested calls are known to reach.
   [[nodiscard]] std::vector<std::string> needed_services(const Exchange& exchange, core::TimePoint now) const;
-  /// Service of a nested call that no server can serve any more; empty if there is none.
-  [[nodiscard]] std::string find_lost_service(const Exchange& exchange, core::TimePoint now) const;
   [[nodiscard]] bool overloaded(const Exchange& exchange, core::TimePoint now) const;
 
   Dependencies dependencies_;
--- a/src/damaskthread/placement/server_pool.cc
+++ b/src/damaskthread/placement/server_pool.cc
@@ -43,13 +43,10 @@
   server.same_zone = same_zone;
   server.report = report;
   server.sent_since_report = 0;
-  if (report.ready && server.reachable) seen_services_.insert(report.service);
 }
 
 void ServerPool::set_reachable(const std::string& endpoint, bool reachable) {
-  Server& server = find_or_add(endpoint);
-  server.reachable = reachable;
-  if (reachable && server.report.ready) seen_services_.insert(server.report.service);
+  find_or_add(endpoint).reachable = reachable;
 }
 
 void ServerPool::remove(const std::string& endpoint) {
@@ -146,10 +143,6 @@
   return sum;
 }
 
-bool ServerPool::lost_all_servers(std::string_view service) const {
-  return seen_services_.contains(service) && !has_ready_server(service);
-}
-
 bool ServerPool::has_ready_server(std::string_view service) const {
   return std::any_of(servers_.begin(), servers_.end(), [service](const Server& server) {
     return server.report.service == service && server.reachable && server.report.ready;
--- a/src/damaskthread/placement/server_pool.h
+++ b/src/damaskthread/placement/server_pool.h
@@ -4,9 +4,7 @@
 /// @file
 /// @brief Selects a server for each request from the load that daemons report and from measured run times.
 
-#include <functional>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -109,9 +107,6 @@
   [[nodiscard]] gate::Load total_load(std::string_view service) const;
   /// @brief Whether any server of the service is reachable and accepts requests.
   [[nodiscard]] bool has_ready_server(std::string_view service) const;
-  /// @brief Whether the service had a server that accepts requests, and has none now. A service of which this daemon
-  /// has not seen a server yet, such as after its own start, is not concluded to have none.
-  [[nodiscard]] bool lost_all_servers(std::string_view service) const;
 
  private:
   struct Server {
@@ -136,8 +131,6 @@
 
   ServerPoolOptions options_;
   std::vector<Server> servers_;
-  /// Services that had a ready server at some time.
-  std::set<std::string, std::less<>> seen_services_;
   std::unordered_map<std::string, double> mean_run_seconds_by_kind_;
 };
 
--- a/test/damaskthread/mesh/ingress_test.cc
+++ b/test/damaskthread/mesh/ingress_test.cc
@@ -47,13 +47,7 @@
     route.objective = seconds{1};
     route.max_servers = 2;
     route.parts = {{"s", 1}};
-    route::Route inner;
-    inner.name = "inner";
-    inner.host = "inner.example";
-    inner.prefix = "/";
-    inner.idempotent = true;
-    inner.parts = {{"t", 1}};
-    ingress.set_table(std::make_shared<route::RouteTable>(1, std::vector<route::Route>{route, inner},
+    ingress.set_table(std::make_shared<route::RouteTable>(1, std::vector<route::Route>{route},
                                                           std::unordered_map<std::string, route::ServiceProperties>{},
                                                           route::CallerLimits{}));
     for (const char* endpoint : {kOwnEndpoint, "127.0.0.1:1"}) {
@@ -134,35 +128,4 @@
   CHECK(received.find("Retry-After: ") != std::string::npos);
 }
 
-// A run that may happen once only and fails is lost to its caller; one that has not started is not.
-TEST_CASE("a request that may run once is refused while a service that its kind calls has lost all servers") {
-  IngressFixture fixture(false);
-  fixture.server.script = [](const http::Request&, ScriptedServer::Connection& connection) {
-    connection.write(answer(200));
-  };
-  fixture.graph.record_call("r", "inner", true, now());
-  constexpr const char* kInnerServer = "127.0.0.1:9";
-  fixture.pool.set_reachable(kInnerServer, true);
-  fixture.pool.set_server(kInnerServer, true, {"t", true, {10, 0, 0, milliseconds{1}}});
-  fixture.pool.set_server(kInnerServer, true, {"t", false, {10, 0, 0, milliseconds{1}}});
-  const std::string refused = fixture.send_request();
-  CHECK(refused.find("HTTP/1.1 503") != std::string::npos);
-  CHECK(refused.find("Retry-After") != std::string::npos);
-  CHECK(fixture.server.requests.empty());
-  fixture.pool.set_server(kInnerServer, true, {"t", true, {10, 0, 0, milliseconds{1}}});
-  CHECK(fixture.send_request().find("HTTP/1.1 200") != std::string::npos);
-}
-
-TEST_CASE("a request that may be repeated runs although a service that its kind calls has lost all servers") {
-  IngressFixture fixture(true);
-  fixture.server.script = [](const http::Request&, ScriptedServer::Connection& connection) {
-    connection.write(answer(200));
-  };
-  fixture.graph.record_call("r", "inner", true, now());
-  fixture.pool.set_reachable("127.0.0.1:9", true);
-  fixture.pool.set_server("127.0.0.1:9", true, {"t", true, {10, 0, 0, milliseconds{1}}});
-  fixture.pool.set_reachable("127.0.0.1:9", false);
-  CHECK(fixture.send_request().find("HTTP/1.1 200") != std::string::npos);
-}
-
 }  // namespace damaskthread::mesh
--- a/test/damaskthread/placement/server_pool_test.cc
+++ b/test/damaskthread/placement/server_pool_test.cc
@@ -221,19 +221,6 @@
   CHECK(choices(pool, any_request, 10)["good"] == 10);
 }
 
-TEST_CASE("a service has lost all servers only if one was seen before") {
-  ServerPool pool;
-  CHECK(!pool.lost_all_servers("s"));
-  add(pool, "a", true, report(0));
-  CHECK(!pool.lost_all_servers("s"));
-  pool.set_reachable("a", false);
-  CHECK(pool.lost_all_servers("s"));
-  pool.set_reachable("a", true);
-  CHECK(!pool.lost_all_servers("s"));
-  pool.remove("a");
-  CHECK(pool.lost_all_servers("s"));
-}
-
 TEST_CASE("reachability recorded before the first report is kept") {
   ServerPool pool;
   pool.set_reachable("a", true);
