Take a report of a server as a sign of life

A daemon reports its own server to its pool 40 times a second, but only answers to its own requests counted as signs of life: where those were more than 0.6 s apart, the local server was overdue, and the next request, with uploads of 60 kB among them, went to another failure domain. Change: set_server takes the time of the report and counts as a sign of life, as a status of another daemon did by a second call.

--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -142,8 +142,7 @@
   Fleet::Hooks fleet_hooks() {
     Fleet::Hooks hooks;
     hooks.status = [this](const std::string& endpoint, bool near, const peer::Status& status) {
-      server_pool.set_server(endpoint, near, {status.service, status.ready, status.load});
-      server_pool.update_load(endpoint, status.load, now());
+      server_pool.set_server(endpoint, near, {status.service, status.ready, status.load}, now());
       for (const auto& [caller, callee] : status.calls) call_graph.record_call(caller, callee, false, now());
       on_peer_version(status.configuration_version);
     };
@@ -339,8 +338,8 @@
   void update_own_pool_entry() {
     const auto& announcement = gate.life().last_heartbeat();
     const core::TimePoint time = now();
-    server_pool.set_server(self, true,
-                           {announcement ? announcement->service : "", gate.accepts_requests(time), gate.load(time)});
+    server_pool.set_server(
+        self, true, {announcement ? announcement->service : "", gate.accepts_requests(time), gate.load(time)}, time);
     server_pool.set_reachable(self, true);
   }
 
--- a/src/damaskthread/placement/server_pool.cc
+++ b/src/damaskthread/placement/server_pool.cc
@@ -34,7 +34,8 @@
   return servers_.back();
 }
 
-void ServerPool::set_server(const std::string& endpoint, bool same_zone, const ServerReport& report) {
+void ServerPool::set_server(const std::string& endpoint, bool same_zone, const ServerReport& report,
+                            core::TimePoint now) {
   Server& server = find_or_add(endpoint);
   if (server.report.service != report.service) {
     server.relative_run_time = Server().relative_run_time;
@@ -43,6 +44,7 @@
   server.same_zone = same_zone;
   server.report = report;
   server.sent_since_report = 0;
+  server.last_load_at = now;
 }
 
 void ServerPool::set_reachable(const std::string& endpoint, bool reachable) {
--- a/src/damaskthread/placement/server_pool.h
+++ b/src/damaskthread/placement/server_pool.h
@@ -80,7 +80,8 @@
   /// @brief Adds a daemon or updates its status.
   /// @param endpoint Address of the daemon.
   /// @param same_zone Whether it is in the same failure domain as this daemon.
-  void set_server(const std::string& endpoint, bool same_zone, const ServerReport& report);
+  /// @param now Time of the report, which is a sign of life like a heartbeat.
+  void set_server(const std::string& endpoint, bool same_zone, const ServerReport& report, core::TimePoint now);
   /// @brief Records whether the daemon is currently reachable.
   void set_reachable(const std::string& endpoint, bool reachable);
   void remove(const std::string& endpoint);
@@ -121,7 +122,7 @@
     /// Moving average of the share of failed requests.
     double failure_share = 0;
     core::TimePoint avoided_until;
-    /// Time of the last load update; nothing before the first one.
+    /// Time of the last report or load update; nothing before the first one.
     std::optional<core::TimePoint> last_load_at;
   };
 
--- a/test/damaskthread/mesh/ingress_test.cc
+++ b/test/damaskthread/mesh/ingress_test.cc
@@ -53,7 +53,7 @@
     for (const char* endpoint : {kOwnEndpoint, "127.0.0.1:1"}) {
       pool.set_reachable(endpoint, true);
       // The local server is in the same zone, so that it is chosen first.
-      pool.set_server(endpoint, std::string(endpoint) == kOwnEndpoint, {"s", true, {10, 0, 0, milliseconds{1}}});
+      pool.set_server(endpoint, std::string(endpoint) == kOwnEndpoint, {"s", true, {10, 0, 0, milliseconds{1}}}, now());
     }
     caller.connect({boost::asio::ip::make_address("127.0.0.1"), listener.port()});
     caller.non_blocking(true);
--- a/test/damaskthread/placement/mixed_run_time_test.cc
+++ b/test/damaskthread/placement/mixed_run_time_test.cc
@@ -85,8 +85,7 @@
     for (int server = 0; server < kServers; ++server) {
       const std::string endpoint = std::to_string(server);
       pools_[entrance].set_reachable(endpoint, true);
-      pools_[entrance].set_server(endpoint, server == entrance, {"s", true, load(server)});
-      pools_[entrance].update_load(endpoint, load(server), time(ms));
+      pools_[entrance].set_server(endpoint, server == entrance, {"s", true, load(server)}, time(ms));
     }
   }
 
--- a/test/damaskthread/placement/server_pool_test.cc
+++ b/test/damaskthread/placement/server_pool_test.cc
@@ -19,9 +19,10 @@
 
 ServerReport report(int running, int limit = 40) { return {"s", true, {limit, running, 0, milliseconds{50}}}; }
 
-void add(ServerPool& pool, const std::string& endpoint, bool same_zone, const ServerReport& state) {
+void add(ServerPool& pool, const std::string& endpoint, bool same_zone, const ServerReport& state,
+         core::TimePoint now = kStart) {
   pool.set_reachable(endpoint, true);
-  pool.set_server(endpoint, same_zone, state);
+  pool.set_server(endpoint, same_zone, state, now);
 }
 
 std::map<std::string, int> choices(const ServerPool& pool, const PlacementRequest& request, int count) {
@@ -59,7 +60,7 @@
     for (int ms = 0; ms < kEndMs; ++ms) {
       finish_runs(ms);
       for (int entrance = 0; entrance < kServers; ++entrance) {
-        if (ms % 400 == 0) report(entrance);
+        if (ms % 400 == 0) report(entrance, ms);
         std::poisson_distribution<int> arrivals(arrivals_per_ms_[entrance]);
         for (int i = arrivals(random_); i > 0; --i) place(entrance, ms);
       }
@@ -82,9 +83,9 @@
     return {kSlots, running_[server], static_cast<int>(queues_[server].size()), milliseconds{40}};
   }
 
-  void report(int entrance) {
+  void report(int entrance, int ms) {
     for (int server = 0; server < kServers; ++server) {
-      add(pools_[entrance], name(server), server == entrance, {"s", true, load(server)});
+      add(pools_[entrance], name(server), server == entrance, {"s", true, load(server)}, kStart + milliseconds{ms});
     }
   }
 
@@ -147,7 +148,7 @@
   add(pool, "near", true, report(10));
   add(pool, "far", false, report(10));
   CHECK(choices(pool, any_request, 100)["near"] == 100);
-  pool.set_server("near", true, report(39));
+  pool.set_server("near", true, report(39), kStart);
   CHECK(choices(pool, any_request, 100)["far"] == 100);
 }
 
@@ -196,6 +197,25 @@
   CHECK(pool.choose(any_request, kStart + milliseconds{650}, random) == "suspended");
 }
 
+// Load replay: a daemon rarely sends requests to its local server, whose load it knows without heartbeats.
+TEST_CASE("a server that is reported regularly is not overdue, however rarely it answers") {
+  constexpr milliseconds kReportInterval{25};
+  ServerPool pool;
+  int left_zone = 0;
+  core::Random random{1};
+  for (milliseconds elapsed{0}; elapsed < seconds{20}; elapsed += kReportInterval) {
+    const core::TimePoint now = kStart + elapsed;
+    add(pool, "local", true, report(0), now);
+    if (elapsed % milliseconds{400} == milliseconds{0}) add(pool, "far", false, report(0), now);
+    if (elapsed % seconds{1} != seconds{0}) continue;
+    const auto chosen = pool.choose(any_request, now, random);
+    if (chosen != "local") ++left_zone;
+    pool.on_sent(*chosen);
+    pool.update_load(*chosen, report(0).load, now);
+  }
+  CHECK(left_zone == 0);
+}
+
 TEST_CASE("slow and failing servers are avoided") {
   ServerPool pool;
   add(pool, "fast", true, report(20));
@@ -224,7 +244,7 @@
 TEST_CASE("reachability recorded before the first report is kept") {
   ServerPool pool;
   pool.set_reachable("a", true);
-  pool.set_server("a", true, report(0));
+  pool.set_server("a", true, report(0), kStart);
   CHECK(choices(pool, any_request, 1)["a"] == 1);
 }
 
