--- a/src/damaskthread/gate/server_lifecycle.cc
+++ b/src/damaskthread/gate/server_lifecycle.cc
@@ -1,5 +1,7 @@
 #include "damaskthread/gate/server_lifecycle.h"
 
+#include <utility>
+
 namespace damaskthread::gate {
 namespace {
 
@@ -33,7 +35,8 @@
     const bool first = !last_heartbeat_;
     last_heartbeat_ = heartbeat;
     last_heartbeat_time_ = now;
-    deregistered_ = heartbeat.id == departed_id_;
+    deregistered_ = is_departed(heartbeat);
+    if (deregistered_ || heartbeat.leaving) departed_ = ServerIncarnation{heartbeat.id, heartbeat.started_at_ms};
     reachable_ = true;
     verified_ = !first || heartbeat.sequence <= kMaxInitialSequence || heartbeat.leaving;
     first_sequence_ = heartbeat.sequence;
@@ -46,21 +49,34 @@
   last_heartbeat_ = heartbeat;
   last_heartbeat_time_ = now;
   reachable_ = true;
+  if (heartbeat.leaving) departed_ = ServerIncarnation{heartbeat.id, heartbeat.started_at_ms};
   if (heartbeat.leaving || heartbeat.sequence > first_sequence_ + 1) verified_ = true;
   return changed || state(now) != before ? Effect::kChanged : Effect::kRenewed;
 }
 
 ServerLifecycle::Effect ServerLifecycle::on_deregistration(std::string_view id, core::TimePoint now) {
   if (!last_heartbeat_ || last_heartbeat_->id != id) {
-    if (!last_heartbeat_) departed_id_ = id;
+    if (!last_heartbeat_) departed_ = ServerIncarnation{std::string(id), 0};
     return Effect::kIgnored;
   }
   last_heartbeat_time_ = now;
   if (deregistered_) return Effect::kRenewed;
   deregistered_ = true;
+  departed_ = ServerIncarnation{last_heartbeat_->id, last_heartbeat_->started_at_ms};
   return Effect::kChanged;
 }
 
+void ServerLifecycle::restore_departed(ServerIncarnation departed) {
+  departed_ = std::move(departed);
+  if (last_heartbeat_ && is_departed(*last_heartbeat_)) deregistered_ = true;
+}
+
+bool ServerLifecycle::is_departed(const ServerHeartbeat& heartbeat) const noexcept {
+  if (!departed_ || departed_->id != heartbeat.id) return false;
+  if (departed_->started_at_ms == 0) return heartbeat.sequence > kMaxInitialSequence;
+  return heartbeat.started_at_ms <= departed_->started_at_ms;
+}
+
 void ServerLifecycle::record_health_check(std::string_view id, bool ready) {
   if (!last_heartbeat_ || last_heartbeat_->id != id || verified_) return;
   if (ready) verified_ = true;
--- a/src/damaskthread/gate/server_lifecycle.h
+++ b/src/damaskthread/gate/server_lifecycle.h
@@ -30,6 +30,14 @@
   core::Duration warm_up_left{0};
 };
 
+/// One start of a server. A server may start again under the same id.
+struct ServerIncarnation {
+  std::string id;
+  /// Wall-clock start time in milliseconds; zero if unknown.
+  std::int64_t started_at_ms = 0;
+  bool operator==(const ServerIncarnation&) const = default;
+};
+
 enum class ServerState : std::uint8_t {
   kUnknown,     ///< No heartbeat since the daemon started, or the heartbeats timed out.
   kUnverified,  ///< Heartbeat received, but it may be a delayed one from before an announced leave.
@@ -53,8 +61,9 @@
   Effect on_heartbeat(const ServerHeartbeat& heartbeat, core::TimePoint now);
   /// @brief Processes a deregistration. It also takes effect if no heartbeat of that server was received before.
   Effect on_deregistration(std::string_view id, core::TimePoint now);
-  /// @brief Restores a leave that a server announced before the daemon restarted.
-  void restore_departed(std::string_view id) { departed_id_ = id; }
+  /// @brief Restores a leave that a server announced before the daemon restarted. It also takes effect if a heartbeat
+  /// of that incarnation was received before.
+  void restore_departed(ServerIncarnation departed);
   /// @brief Records the result of a health check of a server whose first heartbeats were missed.
   /// @param ready Whether the server reported that it accepts requests.
   void record_health_check(std::string_view id, bool ready);
@@ -62,10 +71,15 @@
   void mark_unreachable() noexcept { reachable_ = false; }
 
   [[nodiscard]] ServerState state(core::TimePoint now) const noexcept;
+  /// @return The last incarnation that announced its leave, or nothing if none did.
+  [[nodiscard]] const std::optional<ServerIncarnation>& departed() const noexcept { return departed_; }
   /// @return The latest heartbeat, or nothing before the first one.
   [[nodiscard]] const std::optional<ServerHeartbeat>& last_heartbeat() const noexcept { return last_heartbeat_; }
 
  private:
+  /// @return Whether a heartbeat was sent by an incarnation that had announced its leave.
+  [[nodiscard]] bool is_departed(const ServerHeartbeat& heartbeat) const noexcept;
+
   core::Duration heartbeat_timeout_;
   std::optional<ServerHeartbeat> last_heartbeat_;
   core::TimePoint last_heartbeat_time_;
@@ -74,7 +88,7 @@
   bool reachable_ = true;
   /// Sequence number of the first heartbeat received from this incarnation.
   std::int64_t first_sequence_ = 0;
-  std::string departed_id_;
+  std::optional<ServerIncarnation> departed_;
 };
 
 }  // namespace damaskthread::gate
--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -195,9 +195,11 @@
         continue;
       }
       self_listed = entry->zone == settings.zone && entry->service == settings.service;
-      if (self_listed && departed_server.empty() && !entry->departed_server.empty()) {
-        departed_server = entry->departed_server;
-        gate.remember_leave(departed_server);
+      if (self_listed && entry->departed_server && !gate.life().departed()) {
+        listed_departure = entry->departed_server;
+        log.line(LogClass::kStateChange, "departure_restored",
+                 {{"server", listed_departure->id}, {"started_ms", listed_departure->started_at_ms}});
+        gate.remember_leave(*entry->departed_server);
       }
     }
     if (self_listed) {
@@ -208,7 +210,7 @@
   }
 
   void write_member_entry() {
-    store_client.put_member(self, serialize({settings.zone, settings.service, departed_server}));
+    store_client.put_member(self, serialize({settings.zone, settings.service, listed_departure}));
   }
 
   bool apply_configuration(const std::string& document, std::string_view source) {
@@ -309,14 +311,13 @@
 
   void on_server_changed() {
     const auto& announcement = gate.life().last_heartbeat();
-    const gate::ServerState state = gate.server_state(now());
     if (announcement) {
       ingress.set_local_service(announcement->service);
       fleet.set_service(announcement->service);
     }
-    const bool left = state == gate::ServerState::kLeaving || state == gate::ServerState::kGone;
-    if (left && announcement && announcement->id != departed_server) {
-      departed_server = announcement->id;
+    const auto& departed = gate.life().departed();
+    if (announcement && departed && departed != listed_departure) {
+      listed_departure = departed;
       write_member_entry();
     }
     update_own_pool_entry();
@@ -535,7 +536,8 @@
   const Adapter& adapter;
   std::string self;
   core::Incarnation incarnation;
-  std::string departed_server;
+  /// Departure in this daemon's member entry.
+  std::optional<gate::ServerIncarnation> listed_departure;
   std::string configuration_document;
   /// Newest configuration version announced by any peer.
   std::uint64_t newest_peer_version = 0;
--- a/src/damaskthread/mesh/local_executor.cc
+++ b/src/damaskthread/mesh/local_executor.cc
@@ -437,6 +437,11 @@
   apply_server_state(time);
 }
 
+void LocalExecutor::remember_leave(const gate::ServerIncarnation& server) {
+  life_.restore_departed(server);
+  apply_server_state(now());
+}
+
 void LocalExecutor::stop_accepting() {
   stopping_ = true;
   std::vector<gate::Ticket> refused;
@@ -450,13 +455,15 @@
 
 void LocalExecutor::apply_server_state(core::TimePoint now) {
   const gate::ServerState state = life_.state(now);
-  if (state == applied_state_) return;
+  if (state == applied_state_ && life_.departed() == applied_departure_) return;
   applied_state_ = state;
+  applied_departure_ = life_.departed();
   const auto& announcement = life_.last_heartbeat();
   log_.line(LogClass::kStateChange, "server_state",
             {{"server", announcement ? announcement->id : std::string()},
              {"service", announcement ? announcement->service : std::string()},
              {"state", gate::to_string(state)},
+             {"started_ms", announcement ? announcement->started_at_ms : 0},
              {"sequence", announcement ? announcement->sequence : 0},
              {"running", gate_.running()}});
   if (state != gate::ServerState::kReady) {
--- a/src/damaskthread/mesh/local_executor.h
+++ b/src/damaskthread/mesh/local_executor.h
@@ -71,7 +71,7 @@
   /// @brief Handles a deregistration of the local server.
   void on_deregistration(const std::string& server_id);
   /// @brief Restores from the store that a server had announced its departure.
-  void remember_leave(const std::string& server_id) { life_.restore_departed(server_id); }
+  void remember_leave(const gate::ServerIncarnation& server);
   /// @brief Changes the server's address.
   void set_local_server(const http::Endpoint& endpoint) { connections_.set_endpoint(endpoint); }
   /// @brief Refuses new and queued requests from now on; running ones are completed.
@@ -162,6 +162,7 @@
   retry::CallProgress progress_;
   ServerConnections connections_;
   gate::ServerState applied_state_ = gate::ServerState::kUnknown;
+  std::optional<gate::ServerIncarnation> applied_departure_;
   bool stopping_ = false;
 
   std::map<RunKey, RunPointer> runs_;
--- a/src/damaskthread/mesh/member_entry.h
+++ b/src/damaskthread/mesh/member_entry.h
@@ -7,14 +7,17 @@
 #include <optional>
 #include <string>
 
+#include "damaskthread/gate/server_lifecycle.h"
+
 namespace damaskthread::mesh {
 
 struct MemberEntry {
   std::string zone;
   /// Service of the daemon's local server; empty if unknown.
   std::string service;
-  /// Id of the local server that departed last; empty if none did.
-  std::string departed_server;
+  /// The local server that departed last, if any. It is identified by its start time as well, since a server may start
+  /// again under the id of a departed one.
+  std::optional<gate::ServerIncarnation> departed_server;
 };
 
 /// @brief Encodes an entry.
--- a/test/damaskthread/gate/server_lifecycle_test.cc
+++ b/test/damaskthread/gate/server_lifecycle_test.cc
@@ -13,7 +13,7 @@
 ServerHeartbeat heartbeat(std::string id, std::int64_t started_at_ms, std::int64_t sequence, bool leaving = false) {
   ServerHeartbeat result;
   result.id = std::move(id);
-  result.service = "s";
+  result.service = std::string("s");
   result.capacity = 10;
   result.started_at_ms = started_at_ms;
   result.sequence = sequence;
@@ -21,6 +21,11 @@
   return result;
 }
 
+// Start time of the last departure, or -1 if it was not this server.
+std::int64_t departed_start(const ServerLifecycle& life, std::string_view id) {
+  return life.departed() && life.departed()->id == id ? life.departed()->started_at_ms : -1;
+}
+
 }  // namespace
 
 TEST_CASE("a heartbeat of an older incarnation is ignored") {
@@ -52,7 +57,7 @@
 
 TEST_CASE("after a daemon restart a delayed heartbeat does not make a departed server ready") {
   ServerLifecycle known(seconds{5});
-  known.restore_departed("a");
+  known.restore_departed({"a", 1000});
   (void)known.on_heartbeat(heartbeat("a", 1000, 7), kStart);
   CHECK(known.state(kStart) == ServerState::kGone);
 
@@ -65,6 +70,49 @@
   CHECK(unknown.state(kStart) == ServerState::kReady);
 }
 
+// A server keeps its id when it starts again. A departure that is remembered by the id alone would outlast the restart
+// of the server and, restored after a restart of the daemon, leave the service without this server for good.
+TEST_CASE("after a daemon restart a server that started again under the id of a departed one is used") {
+  ServerLifecycle life(seconds{5});
+  life.restore_departed({"a", 1000});
+  (void)life.on_heartbeat(heartbeat("a", 2000, 7), kStart);
+  CHECK(life.state(kStart) == ServerState::kUnverified);
+  life.record_health_check("a", true);
+  CHECK(life.state(kStart) == ServerState::kReady);
+  // A heartbeat of the departed incarnation that was delayed changes nothing.
+  CHECK(life.on_heartbeat(heartbeat("a", 1000, 8), kStart) == ServerLifecycle::Effect::kIgnored);
+  CHECK(life.state(kStart) == ServerState::kReady);
+}
+
+TEST_CASE("a server that starts again after a deregistration received before any heartbeat is used") {
+  ServerLifecycle life(seconds{5});
+  (void)life.on_deregistration("a", kStart);
+  (void)life.on_heartbeat(heartbeat("a", 2000, 1), kStart);
+  CHECK(life.state(kStart) == ServerState::kReady);
+}
+
+TEST_CASE("a departure restored after the first heartbeat takes effect") {
+  ServerLifecycle life(seconds{5});
+  (void)life.on_heartbeat(heartbeat("a", 1000, 7), kStart);
+  life.restore_departed({"a", 1000});
+  CHECK(life.state(kStart) == ServerState::kGone);
+  (void)life.on_heartbeat(heartbeat("a", 1000, 9), kStart);
+  CHECK(life.state(kStart) == ServerState::kGone);
+}
+
+TEST_CASE("the last departure is known with its start time, however it was announced") {
+  ServerLifecycle life(seconds{5});
+  CHECK(!life.departed());
+  (void)life.on_heartbeat(heartbeat("a", 1000, 1), kStart);
+  (void)life.on_heartbeat(heartbeat("a", 1000, 2, true), kStart);
+  CHECK(departed_start(life, "a") == 1000);
+  (void)life.on_heartbeat(heartbeat("a", 2000, 1, true), kStart);
+  CHECK(departed_start(life, "a") == 2000);
+  (void)life.on_heartbeat(heartbeat("a", 3000, 1), kStart);
+  (void)life.on_deregistration("a", kStart);
+  CHECK(departed_start(life, "a") == 3000);
+}
+
 TEST_CASE("an unverified server becomes ready after repeated heartbeats") {
   ServerLifecycle life(seconds{5});
   (void)life.on_heartbeat(heartbeat("a", 1000, 7), kStart);
--- a/test/damaskthread/mesh/member_entry_test.cc
+++ b/test/damaskthread/mesh/member_entry_test.cc
@@ -5,11 +5,12 @@
 namespace damaskthread::mesh {
 
 TEST_CASE("a member entry round-trips") {
-  const auto entry = parse_member_entry(serialize({"z", "s", "i-1"}));
+  const auto entry = parse_member_entry(serialize({"z", "s", gate::ServerIncarnation{"i-1", 1700000000123}}));
   REQUIRE(entry);
   CHECK(entry->zone == "z");
   CHECK(entry->service == "s");
-  CHECK(entry->departed_server == "i-1");
+  CHECK(entry->departed_server == gate::ServerIncarnation{"i-1", 1700000000123});
+  CHECK(!parse_member_entry(serialize({"z", "s", std::nullopt}))->departed_server);
 }
 
 TEST_CASE("an entry without a zone is no member, and other fields may be absent or of another type") {
@@ -19,7 +20,16 @@
   const auto entry = parse_member_entry(R"({"zone": "z", "service": 3, "more": {}})");
   REQUIRE(entry);
   CHECK(entry->service.empty());
-  CHECK(entry->departed_server.empty());
+  CHECK(!entry->departed_server);
+}
+
+TEST_CASE("a departure without a start time is dropped, since it would apply to every start under that id") {
+  for (const char* text : {R"({"zone": "z", "left": "i-1"})", R"({"zone": "z", "left": "i-1", "left_started_ms": "1"})",
+                           R"({"zone": "z", "left_started_ms": 1})"}) {
+    const auto entry = parse_member_entry(text);
+    REQUIRE_MESSAGE(entry, text);
+    CHECK_MESSAGE(!entry->departed_server, text);
+  }
 }
 
 }  // namespace damaskthread::mesh
--- a/test/meshfleet/fleet_test.cc
+++ b/test/meshfleet/fleet_test.cc
@@ -22,6 +22,7 @@
 // Bounds that the service guarantees to its users.
 constexpr seconds kMaxPropagationTime{2};
 constexpr seconds kDrainBound{2};
+constexpr seconds kRecoveryBound{15};
 // The bounds hold again this long after a fault of the store.
 constexpr seconds kStoreRecoveryTime{3};
 // Window of the repeat budget, the default of the settings.
@@ -76,6 +77,26 @@
     }));
   }
 
+  // Ends a server that has announced its departure and starts it again under the same id.
+  void start_again(Vm& vm) {
+    fleet.on_loop([&] {
+      vm.server->crash();
+      vm.server->start_under_same_id();
+    });
+  }
+
+  // Sends requests until well after the drain bound and checks that the leaving server gets none.
+  void check_drained(const Vm& leaving, const Vm& other) {
+    const auto end = Clock::now() + kDrainBound + seconds(3);
+    int served = 0;
+    while (Clock::now() < end) {
+      if (send_request(other, kHost, "/x").status == 200) ++served;
+      (void)send_request(leaving, kHost, "/x");
+    }
+    CHECK(served > 10);
+    CHECK(violations().empty());
+  }
+
   // Publishes a configuration and checks that every daemon has it in force within the bound.
   void check_in_force_everywhere() {
     fleet.publish();
@@ -127,14 +148,37 @@
   fixture.leave(leaving);
   Fleet::kill_daemon(leaving);
   fixture.fleet.start_daemon(leaving);
-  const auto end = Clock::now() + kDrainBound + seconds(3);
-  int served = 0;
-  while (Clock::now() < end) {
-    if (fixture.send_request(other, kHost, "/x").status == 200) ++served;
-    (void)fixture.send_request(leaving, kHost, "/x");
+  fixture.check_drained(leaving, other);
+}
+
+// The daemons' own memory of a departure must end with the incarnation that announced it: a server keeps its id when it
+// starts again, and its daemon may be restarted at any time after that.
+TEST_CASE("servers that left and started again under their ids are used after all daemons were killed") {
+  ProcessFleetFixture fixture({{"lookup", true, 2, ""}}, "same-id");
+  for (const auto& vm : fixture.fleet.vms()) {
+    fixture.leave(*vm);
+    fixture.start_again(*vm);
+    REQUIRE(fixture.served_within(kTestTimeout, *vm, kHost));
   }
-  CHECK(served > 10);
-  CHECK(fixture.violations().empty());
+  for (const auto& vm : fixture.fleet.vms()) Fleet::kill_daemon(*vm);
+  for (const auto& vm : fixture.fleet.vms()) fixture.fleet.start_daemon(*vm);
+  for (const auto& vm : fixture.fleet.vms()) {
+    REQUIRE(support::wait_for_port(vm->ports.caller_port));
+    CHECK(fixture.served_within(kRecoveryBound, *vm, kHost));
+  }
+}
+
+TEST_CASE("a second leave of a server under the same id holds after its daemon was killed and restarted") {
+  ProcessFleetFixture fixture({{"lookup", true, 2, ""}}, "same-id-drain");
+  Vm& leaving = fixture.fleet.vm("lookup-0");
+  Vm& other = fixture.fleet.vm("lookup-1");
+  fixture.leave(leaving);
+  fixture.start_again(leaving);
+  REQUIRE(fixture.served_within(kTestTimeout, leaving, kHost));
+  fixture.leave(leaving);
+  Fleet::kill_daemon(leaving);
+  fixture.fleet.start_daemon(leaving);
+  fixture.check_drained(leaving, other);
 }
 
 TEST_CASE("the newest configuration is in force after all daemons were killed and restarted") {
--- a/test/meshfleet/server.cc
+++ b/test/meshfleet/server.cc
@@ -31,7 +31,14 @@
       heartbeat_timer_(io) {}
 
 void Server::start() {
-  id_ = "i-" + std::to_string(ports_.server_port) + "-" + std::to_string(++generation_);
+  id_ = "i-" + std::to_string(ports_.server_port) + "-" + std::to_string(generation_ + 1);
+  listen();
+}
+
+void Server::start_under_same_id() { listen(); }
+
+void Server::listen() {
+  ++generation_;
   sequence_ = 0;
   started_at_ms_ =
       std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
--- a/test/meshfleet/server.h
+++ b/test/meshfleet/server.h
@@ -47,6 +47,8 @@
 
   /// @brief Starts the server with a new instance id.
   void start();
+  /// @brief Starts the server under the instance id that it had before.
+  void start_under_same_id();
   /// @brief Stops at once: connections break and nothing is announced.
   void crash();
   /// @brief Announces the departure; the server goes on serving until it is stopped by `crash`.
@@ -61,6 +63,7 @@
   [[nodiscard]] static std::string response_body(const std::string& attempt_id);
 
  private:
+  void listen();
   void handle(const std::shared_ptr<mesh::CallerRequest>& request);
   void run(const std::shared_ptr<mesh::CallerRequest>& request, const std::string& attempt);
   void finish(const std::shared_ptr<mesh::CallerRequest>& request, const std::string& attempt, int status);
