--- a/src/damaskthread/mesh/http_connection.cc
+++ b/src/damaskthread/mesh/http_connection.cc
@@ -1,5 +1,7 @@
 #include "damaskthread/mesh/http_connection.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <charconv>
 #include <utility>
@@ -14,6 +16,10 @@
 // A connection is no longer used this long before the server would close it.
 constexpr core::Duration kIdleMargin = std::chrono::milliseconds(1500);
 constexpr int kFirstNonSuccessStatus = 300;
+// Bounds the memory for the values sent on one connection.
+constexpr std::size_t kMaxMatchedRequests = 1024;
+
+std::uint64_t hash_of(std::string_view value) noexcept { return XXH3_64bits(value.data(), value.size()); }
 
 }  // namespace
 
@@ -29,7 +35,11 @@
 
 void HttpConnection::send(const http::Request& request, Callback callback) {
   callback_ = std::move(callback);
-  if (!match_header_.empty()) match_value_ = http::find(request.headers, match_header_);
+  if (!match_header_.empty()) {
+    match_value_ = http::find(request.headers, match_header_);
+    sent_values_.push_back(hash_of(match_value_));
+    if (sent_values_.size() >= kMaxMatchedRequests) reusable_ = false;
+  }
   const std::string bytes = to_bytes(request);
   if (connected_) {
     stream_->write(bytes);
@@ -60,6 +70,10 @@
   return !connected_ || now - idle_since_ < idle_timeout_;
 }
 
+bool HttpConnection::has_sent(std::string_view match_value) const noexcept {
+  return std::find(sent_values_.begin(), sent_values_.end(), hash_of(match_value)) != sent_values_.end();
+}
+
 void HttpConnection::on_bytes(std::string_view bytes) {
   const auto self = shared_from_this();
   if (!busy()) {
--- a/src/damaskthread/mesh/http_connection.h
+++ b/src/damaskthread/mesh/http_connection.h
@@ -5,11 +5,13 @@
 /// @brief A persistent connection to an HTTP server that carries one request at a time.
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "damaskthread/core/types.h"
 #include "damaskthread/http/message.h"
@@ -60,6 +62,9 @@
 
   /// @return Whether a request can be sent now.
   [[nodiscard]] bool usable(core::TimePoint now) const noexcept;
+  /// @return Whether a request with this value of the matched header was sent on this connection. Another one must not
+  /// be: a late copy of the response to the first would be taken for the response to the second.
+  [[nodiscard]] bool has_sent(std::string_view match_value) const noexcept;
   [[nodiscard]] bool busy() const noexcept { return callback_ != nullptr; }
 
   void on_bytes(std::string_view bytes) override;
@@ -79,6 +84,8 @@
   ResponseReader reader_;
   std::string match_header_;
   std::string match_value_;
+  /// Hashes of the values sent so far.
+  std::vector<std::uint64_t> sent_values_;
   std::shared_ptr<ResponseMemoryLimit> memory_limit_;
   std::size_t reserved_bytes_ = 0;
   std::string queued_request_;
--- a/src/damaskthread/mesh/local_executor.cc
+++ b/src/damaskthread/mesh/local_executor.cc
@@ -192,8 +192,8 @@
   http::set(request.headers, names.attempt_id, run->execute.attempt_id);
   http::set(request.headers, names.caller_service, run->execute.caller_service);
   http::set(request.headers, names.target_server, life_.last_heartbeat()->id);
-  const bool new_connection = !run->execute.idempotent || run->resent;
-  run->connection = connections_.acquire(now, new_connection);
+  const bool recently_used_only = !run->execute.idempotent || run->resent;
+  run->connection = connections_.acquire(now, recently_used_only, run->execute.attempt_id);
   run->connection->send(request, [this, weak = std::weak_ptr<Run>(run)](ExchangeResult exchange) {
     if (const RunPointer self = weak.lock()) on_exchange(self, std::move(exchange));
   });
--- a/src/damaskthread/mesh/server_connections.cc
+++ b/src/damaskthread/mesh/server_connections.cc
@@ -1,5 +1,6 @@
 #include "damaskthread/mesh/server_connections.h"
 
+#include <cstddef>
 #include <utility>
 
 namespace damaskthread::mesh {
@@ -19,11 +20,13 @@
   close_idle();
 }
 
-std::shared_ptr<HttpConnection> ServerConnections::acquire(core::TimePoint now, bool recently_used_only) {
-  while (!idle_.empty()) {
-    if (recently_used_only && now - idle_.back().idle_since > kMaxIdleForSingleRun) break;
-    std::shared_ptr<HttpConnection> connection = std::move(idle_.back().connection);
-    idle_.pop_back();
+std::shared_ptr<HttpConnection> ServerConnections::acquire(core::TimePoint now, bool recently_used_only,
+                                                           std::string_view match_value) {
+  for (std::size_t i = idle_.size(); i-- > 0;) {
+    if (recently_used_only && now - idle_[i].idle_since > kMaxIdleForSingleRun) break;
+    if (idle_[i].connection->has_sent(match_value)) continue;
+    std::shared_ptr<HttpConnection> connection = std::move(idle_[i].connection);
+    idle_.erase(idle_.begin() + static_cast<std::ptrdiff_t>(i));
     if (connection->usable(now)) return connection;
     connection->close();
   }
--- a/src/damaskthread/mesh/server_connections.h
+++ b/src/damaskthread/mesh/server_connections.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "damaskthread/core/types.h"
@@ -29,9 +30,11 @@
   /// @brief Sets the server's address. Idle connections to the previous address are closed.
   void set_endpoint(const http::Endpoint& endpoint);
   /// @brief Returns a connection for one request: the most recently used one, since the server is least likely to have
-  /// closed it.
+  /// closed it. A connection that has carried the same match value is left for other requests.
   /// @param recently_used_only Whether to open a new connection if the most recently used one has been idle for long.
-  [[nodiscard]] std::shared_ptr<HttpConnection> acquire(core::TimePoint now, bool recently_used_only);
+  /// @param match_value Value of the match header in the request.
+  [[nodiscard]] std::shared_ptr<HttpConnection> acquire(core::TimePoint now, bool recently_used_only,
+                                                        std::string_view match_value);
   /// @brief Returns a connection to the pool after its request.
   void release(std::shared_ptr<HttpConnection> connection, core::TimePoint now);
   /// @brief Closes all idle connections.
--- a/test/damaskthread/mesh/local_executor_test.cc
+++ b/test/damaskthread/mesh/local_executor_test.cc
@@ -165,6 +165,61 @@
   CHECK(third.response.status == 500);
 }
 
+// A server that rejects an attempt and later sends the rejection once more. The attempt is sent to it again in the
+// meantime; a copy taken for the response to the second send makes the request run at yet another server, or tells the
+// caller that it has not run.
+TEST_CASE("a late copy of a rejection is not taken for the response to a repeat of the same attempt") {
+  for (const std::string echo : {"Attempt: attempt-1\r\n", ""}) {
+    ExecutorFixture fixture;
+    const std::string rejection = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n" + echo + "Content-Length: 0\r\n\r\n";
+    ScriptedServer::Connection* first = nullptr;
+    fixture.server.script = [&](const http::Request& request, ScriptedServer::Connection& connection) {
+      if (fixture.server.requests.size() == 1) {
+        first = &connection;
+        return connection.write(rejection);
+      }
+      first->write(rejection);
+      connection.write(answer(request, "done"));
+    };
+    CHECK(fixture.execute_and_wait(ExecutorFixture::request(1)).verdict.execution == core::Execution::kNotRun);
+    peer::Execute repeat = ExecutorFixture::request(2);
+    repeat.attempt_id = "attempt-1";
+    const peer::Result result = fixture.execute_and_wait(repeat);
+    CHECK(result.answered);
+    CHECK(result.response.body == "done");
+    CHECK(fixture.server.requests.size() == 2);
+  }
+}
+
+TEST_CASE("a late copy of a rejection of another attempt is not taken for the response to the next request") {
+  for (const std::string echo : {"Attempt: attempt-1\r\n", ""}) {
+    ExecutorFixture fixture;
+    const std::string rejection = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n" + echo + "Content-Length: 0\r\n\r\n";
+    fixture.server.script = [&](const http::Request& request, ScriptedServer::Connection& connection) {
+      connection.write(rejection);
+      if (fixture.server.requests.size() > 1) connection.write(answer(request, "done"));
+    };
+    CHECK(fixture.execute_and_wait(ExecutorFixture::request(1)).verdict.execution == core::Execution::kNotRun);
+    CHECK(fixture.execute_and_wait(ExecutorFixture::request(2)).response.body == "done");
+    CHECK(fixture.server.accepted == 1);
+  }
+}
+
+TEST_CASE("a connection that carried an attempt is kept for other attempts") {
+  ExecutorFixture fixture;
+  fixture.server.script = [&](const http::Request& request, ScriptedServer::Connection& connection) {
+    if (fixture.server.requests.size() > 2) return connection.write(answer(request, "done"));
+    connection.write("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nAttempt: attempt-1\r\nContent-Length: 0\r\n\r\n");
+  };
+  (void)fixture.execute_and_wait(ExecutorFixture::request(1));
+  peer::Execute repeat = ExecutorFixture::request(2);
+  repeat.attempt_id = "attempt-1";
+  (void)fixture.execute_and_wait(repeat);
+  CHECK(fixture.server.accepted == 2);
+  CHECK(fixture.execute_and_wait(ExecutorFixture::request(3)).answered);
+  CHECK(fixture.server.accepted == 2);
+}
+
 TEST_CASE("an endless response uses bounded memory and the next request is served") {
   ExecutorFixture fixture;
   const std::string piece(std::size_t{1} << 20U, 'x');
