--- a/src/damaskthread/gate/server_lifecycle.cc
+++ b/src/damaskthread/gate/server_lifecycle.cc
@@ -1,7 +1,5 @@
 #include "damaskthread/gate/server_lifecycle.h"
 
-#include <utility>
-
 namespace damaskthread::gate {
 namespace {
 
@@ -27,7 +25,17 @@
   return "unknown";
 }
 
+bool ServerIdentity::matches(const ServerHeartbeat& heartbeat) const noexcept {
+  return (service.empty() || service == heartbeat.service) && (address.empty() || address == heartbeat.address);
+}
+
+void ServerLifecycle::expect(ServerIdentity expected) {
+  expected_ = std::move(expected);
+  if (last_heartbeat_ && !expected_.matches(*last_heartbeat_)) reachable_ = false;
+}
+
 ServerLifecycle::Effect ServerLifecycle::on_heartbeat(const ServerHeartbeat& heartbeat, core::TimePoint now) {
+  if (!expected_.matches(heartbeat)) return Effect::kForeign;
   if (last_heartbeat_ && heartbeat.started_at_ms < last_heartbeat_->started_at_ms) return Effect::kIgnored;
   const bool new_incarnation = !last_heartbeat_ || heartbeat.started_at_ms > last_heartbeat_->started_at_ms ||
                                heartbeat.id != last_heartbeat_->id;
--- a/src/damaskthread/gate/server_lifecycle.h
+++ b/src/damaskthread/gate/server_lifecycle.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "damaskthread/core/types.h"
 
@@ -30,6 +31,13 @@
   core::Duration warm_up_left{0};
 };
 
+/// The server beside a daemon, as the settings name it. An empty field stands for any value.
+struct ServerIdentity {
+  std::string service;
+  std::string address;
+  [[nodiscard]] bool matches(const ServerHeartbeat& heartbeat) const noexcept;
+};
+
 /// One start of a server. A server may start again under the same id.
 struct ServerIncarnation {
   std::string id;
@@ -49,14 +57,24 @@
 [[nodiscard]] std::string_view to_string(ServerState state) noexcept;
 
 /// @brief Orders the heartbeats of all incarnations at one address. A heartbeat delayed by a network partition may
-/// arrive after a newer incarnation has registered; it is ignored.
+/// arrive after a newer incarnation has registered; it is ignored. So is one that another writer sent.
 class ServerLifecycle {
  public:
-  enum class Effect : std::uint8_t { kIgnored, kRenewed, kChanged, kNewIncarnation };
+  enum class Effect : std::uint8_t {
+    kForeign,  ///< Not from the expected server.
+    kIgnored,  ///< Delayed or repeated.
+    kRenewed,
+    kChanged,
+    kNewIncarnation,
+  };
 
   /// @param heartbeat_timeout Time without heartbeats after which the state of the server is unknown.
-  explicit ServerLifecycle(core::Duration heartbeat_timeout) noexcept : heartbeat_timeout_(heartbeat_timeout) {}
+  /// @param expected The server whose heartbeats are processed.
+  explicit ServerLifecycle(core::Duration heartbeat_timeout, ServerIdentity expected = {}) noexcept
+      : heartbeat_timeout_(heartbeat_timeout), expected_(std::move(expected)) {}
 
+  /// @brief Changes the expected server. A server that is not the expected one counts as unknown.
+  void expect(ServerIdentity expected);
   /// @brief Processes a heartbeat.
   Effect on_heartbeat(const ServerHeartbeat& heartbeat, core::TimePoint now);
   /// @brief Processes a deregistration. It also takes effect if no heartbeat of that server was received before.
@@ -81,6 +99,7 @@
   [[nodiscard]] bool is_departed(const ServerHeartbeat& heartbeat) const noexcept;
 
   core::Duration heartbeat_timeout_;
+  ServerIdentity expected_;
   std::optional<ServerHeartbeat> last_heartbeat_;
   core::TimePoint last_heartbeat_time_;
   bool verified_ = false;
--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -311,7 +311,8 @@
 
   void on_server_changed() {
     const auto& announcement = gate.life().last_heartbeat();
-    if (announcement) {
+    // Without a service in the settings, the server's own statement is all there is.
+    if (announcement && settings.service.empty()) {
       ingress.set_local_service(announcement->service);
       fleet.set_service(announcement->service);
     }
@@ -361,7 +362,13 @@
       caller_request.answer({kBadRequest, {}, {}});
       return;
     }
-    if (const auto* heartbeat = std::get_if<gate::ServerHeartbeat>(&call)) gate.on_heartbeat(*heartbeat);
+    const auto* heartbeat = std::get_if<gate::ServerHeartbeat>(&call);
+    if (heartbeat != nullptr && !gate.on_heartbeat(*heartbeat)) {
+      log.line(LogClass::kStateChange, "heartbeat_foreign",
+               {{"server", heartbeat->id}, {"service", heartbeat->service}, {"address", heartbeat->address}});
+      caller_request.answer({kBadRequest, {}, {}});
+      return;
+    }
     if (const auto* deregistration = std::get_if<Deregistration>(&call))
       gate.on_deregistration(deregistration->server_id);
     caller_request.answer(adapter.control_response());
@@ -433,8 +440,11 @@
         [] { return std::optional<MeshSettings>(); });
     if (!loaded) return;
     const SettingsUpdate update = apply_reloadable(settings, *loaded);
-    gate.set_local_server(to_http_endpoint(settings.local_server));
-    if (!gate.life().last_heartbeat()) ingress.set_local_service(settings.service);
+    gate.set_local_server(settings.service, settings.local_server);
+    if (!settings.service.empty()) {
+      ingress.set_local_service(settings.service);
+      fleet.set_service(settings.service);
+    }
     log.line(LogClass::kStateChange, "settings",
              {{"digest", fleet_digest(settings)}, {"taken", join(update.applied)}, {"refused", join(update.rejected)}});
   }
--- a/src/damaskthread/mesh/local_executor.cc
+++ b/src/damaskthread/mesh/local_executor.cc
@@ -83,7 +83,8 @@
       log_(log),
       tally_(tally),
       hooks_(std::move(hooks)),
-      life_(kHeartbeatsMissed * settings.heartbeat + kHeartbeatTolerance),
+      life_(kHeartbeatsMissed * settings.heartbeat + kHeartbeatTolerance,
+            {settings.service, settings::to_string(settings.local_server)}),
       gate_(settings.policy.gate),
       budget_(repeat_options(settings), now()),
       connections_(io, adapter.headers().attempt_id, answer_memory(settings)),
@@ -416,10 +417,19 @@
   }
 }
 
-void LocalExecutor::on_heartbeat(const gate::ServerHeartbeat& announcement) {
+void LocalExecutor::set_local_server(const std::string& service, const settings::Endpoint& endpoint) {
+  settings_.service = service;
+  settings_.local_server = endpoint;
+  connections_.set_endpoint({endpoint.host, endpoint.port});
+  life_.expect({service, settings::to_string(endpoint)});
+  apply_server_state(now());
+}
+
+bool LocalExecutor::on_heartbeat(const gate::ServerHeartbeat& announcement) {
   const core::TimePoint time = now();
   const gate::ServerLifecycle::Effect effect = life_.on_heartbeat(announcement, time);
-  if (effect == gate::ServerLifecycle::Effect::kIgnored) return;
+  if (effect == gate::ServerLifecycle::Effect::kForeign) return false;
+  if (effect == gate::ServerLifecycle::Effect::kIgnored) return true;
   if (effect == gate::ServerLifecycle::Effect::kNewIncarnation) {
     connections_.close_idle();
     untracked_requests_ = 0;
@@ -429,6 +439,7 @@
   gate_.set_capacity(announcement.capacity);
   apply_server_state(time);
   start_queued(time);
+  return true;
 }
 
 void LocalExecutor::on_deregistration(const std::string& server_id) {
--- a/src/damaskthread/mesh/local_executor.h
+++ b/src/damaskthread/mesh/local_executor.h
@@ -66,14 +66,15 @@
   /// @brief Called when a sender's connection broke; its requests are kept for a short time for `resume`.
   void detach(core::Incarnation sender);
 
-  /// @brief Handles a heartbeat of the local server.
-  void on_heartbeat(const gate::ServerHeartbeat& announcement);
+  /// @brief Handles a heartbeat.
+  /// @return Whether it is from the local server; otherwise it has no effect.
+  [[nodiscard]] bool on_heartbeat(const gate::ServerHeartbeat& announcement);
   /// @brief Handles a deregistration of the local server.
   void on_deregistration(const std::string& server_id);
   /// @brief Restores from the store that a server had announced its departure.
   void remember_leave(const gate::ServerIncarnation& server);
-  /// @brief Changes the server's address.
-  void set_local_server(const http::Endpoint& endpoint) { connections_.set_endpoint(endpoint); }
+  /// @brief Changes the server's service and address.
+  void set_local_server(const std::string& service, const settings::Endpoint& endpoint);
   /// @brief Refuses new and queued requests from now on; running ones are completed.
   void stop_accepting();
 
--- a/test/damaskthread/gate/server_lifecycle_test.cc
+++ b/test/damaskthread/gate/server_lifecycle_test.cc
@@ -36,6 +36,37 @@
   CHECK(life.state(kStart) == ServerState::kReady);
 }
 
+// Another writer's heartbeat must neither take the place of the server nor shut it out: its start time may be later
+// than that of the server.
+TEST_CASE("a heartbeat for another service or address is ignored") {
+  ServerLifecycle life(seconds{5}, {"s", "10.0.0.1:80"});
+  ServerHeartbeat own = heartbeat("a", 1000, 1);
+  own.address = std::string("10.0.0.1:80");
+  CHECK(life.on_heartbeat(own, kStart) == ServerLifecycle::Effect::kNewIncarnation);
+  ServerHeartbeat other_service = own;
+  other_service.id = std::string("b");
+  other_service.started_at_ms = 2000;
+  ServerHeartbeat other_address = other_service;
+  other_service.service = std::string("t");
+  other_address.address = std::string("10.0.0.2:80");
+  for (const ServerHeartbeat& foreign : {other_service, other_address}) {
+    CHECK(life.on_heartbeat(foreign, kStart) == ServerLifecycle::Effect::kForeign);
+    CHECK(life.last_heartbeat()->id == "a");
+  }
+  own.sequence = 2;
+  CHECK(life.on_heartbeat(own, kStart + seconds{1}) == ServerLifecycle::Effect::kRenewed);
+  CHECK(life.state(kStart + seconds{1}) == ServerState::kReady);
+}
+
+TEST_CASE("after a change of the expected server the previous one is unknown") {
+  ServerLifecycle life(seconds{5}, {"s", ""});
+  (void)life.on_heartbeat(heartbeat("a", 1000, 1), kStart);
+  life.expect({"t", ""});
+  CHECK(life.state(kStart) == ServerState::kUnknown);
+  CHECK(life.on_heartbeat(heartbeat("a", 1000, 2), kStart) == ServerLifecycle::Effect::kForeign);
+  CHECK(life.state(kStart) == ServerState::kUnknown);
+}
+
 TEST_CASE("a delayed heartbeat does not revert an announced leave") {
   ServerLifecycle life(seconds{5});
   (void)life.on_heartbeat(heartbeat("a", 1000, 1), kStart);
--- a/test/damaskthread/mesh/ingress_test.cc
+++ b/test/damaskthread/mesh/ingress_test.cc
@@ -36,9 +36,10 @@
     gate::ServerHeartbeat announcement;
     announcement.id = "i-1";
     announcement.service = "s";
+    announcement.address = settings::to_string(settings().local_server);
     announcement.capacity = 10;
     announcement.sequence = 1;
-    executor.on_heartbeat(announcement);
+    REQUIRE(executor.on_heartbeat(announcement));
     route::Route route;
     route.name = "r";
     route.host = "h.example";
--- a/test/damaskthread/mesh/local_executor_test.cc
+++ b/test/damaskthread/mesh/local_executor_test.cc
@@ -44,20 +44,28 @@
 
   static MeshSettings settings(const ScriptedServer& server, double repeat_slack) {
     MeshSettings result;
+    result.service = "s";
     result.local_server = {server.endpoint().host, server.endpoint().port};
     result.promises.repeat_slack = repeat_slack;
     return result;
   }
 
-  void send_heartbeat(std::int64_t sequence, bool leaving = false, int capacity = 10) {
+  [[nodiscard]] gate::ServerHeartbeat heartbeat(std::int64_t sequence) const {
     gate::ServerHeartbeat announcement;
     announcement.id = "i-1";
     announcement.service = "s";
-    announcement.capacity = capacity;
+    announcement.address = settings::to_string({server.endpoint().host, server.endpoint().port});
+    announcement.capacity = 10;
     announcement.sequence = sequence;
     announcement.started_at_ms = 1;
+    return announcement;
+  }
+
+  void send_heartbeat(std::int64_t sequence, bool leaving = false, int capacity = 10) {
+    gate::ServerHeartbeat announcement = heartbeat(sequence);
+    announcement.capacity = capacity;
     announcement.leaving = leaving;
-    executor.on_heartbeat(announcement);
+    REQUIRE(executor.on_heartbeat(announcement));
   }
 
   static peer::Execute request(std::uint64_t stream, bool idempotent = false) {
@@ -310,6 +318,23 @@
   CHECK(fixture.server.requests.empty());
 }
 
+TEST_CASE("after a change of the local server's address requests wait for a heartbeat from there") {
+  ExecutorFixture fixture;
+  ScriptedServer other(fixture.io);
+  other.script = [](const http::Request& request, ScriptedServer::Connection& connection) {
+    connection.write(answer(request, "other"));
+  };
+  fixture.executor.set_local_server("s", {other.endpoint().host, other.endpoint().port});
+  CHECK(fixture.execute_and_wait(ExecutorFixture::request(1)).verdict == core::not_run(core::Cause::kNoServer));
+  CHECK(!fixture.executor.on_heartbeat(fixture.heartbeat(2)));
+  gate::ServerHeartbeat moved = fixture.heartbeat(1);
+  moved.id = "i-2";
+  moved.address = settings::to_string({other.endpoint().host, other.endpoint().port});
+  moved.started_at_ms = 2;
+  CHECK(fixture.executor.on_heartbeat(moved));
+  CHECK(fixture.execute_and_wait(ExecutorFixture::request(2)).response.body == "other");
+}
+
 TEST_CASE("a leaving server gets no new requests, and running ones are completed") {
   ExecutorFixture fixture;
   ScriptedServer::Connection* waiting = nullptr;
@@ -423,13 +448,10 @@
   // The fingerprint of a request is private to the executor, so it is taken from a crash report.
   fixture.server.script = [&](const http::Request&, ScriptedServer::Connection& connection) { connection.reset(); };
   (void)fixture.execute_and_wait(ExecutorFixture::request(1));
-  gate::ServerHeartbeat restarted_server;
+  gate::ServerHeartbeat restarted_server = fixture.heartbeat(1);
   restarted_server.id = "i-2";
-  restarted_server.service = "s";
-  restarted_server.capacity = 10;
-  restarted_server.sequence = 1;
   restarted_server.started_at_ms = 2;
-  fixture.executor.on_heartbeat(restarted_server);
+  REQUIRE(fixture.executor.on_heartbeat(restarted_server));
   REQUIRE(fixture.crashes.size() == 1);
   const std::uint64_t poison = fixture.crashes.front().running.front();
   (void)fixture.tally.add({1001, {poison}}, now());
--- a/test/meshfleet/fleet_test.cc
+++ b/test/meshfleet/fleet_test.cc
@@ -8,6 +8,7 @@
 #include <functional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "support/child_process.h"
@@ -234,6 +235,35 @@
   CHECK(calls <= 4 * polls);
 }
 
+// Any process on a VM can send a heartbeat to its daemon. One of another writer must not change whose requests these
+// are, nor take the sound server out of use.
+TEST_CASE("a heartbeat of another writer changes neither the caller's service nor the server in use") {
+  ProcessFleetFixture fixture({{"lookup", true, 1, ""}, {"desk", true, 1, ""}}, "foreign-heartbeat");
+  const Vm& vm = fixture.fleet.vm("lookup-0");
+  const std::string own_address = "127.0.0.1:" + std::to_string(vm.ports.server_port);
+  const std::vector<std::pair<std::string, std::string>> senders = {
+      {"nosuchservice", own_address}, {"desk", own_address}, {"lookup", "127.0.0.1:1"}};
+  for (const auto& [service, address] : senders) {
+    CAPTURE(service);
+    support::HttpCall stray;
+    stray.method = "POST";
+    stray.target = "/rpc?call=instances.heartbeat&of=i-stray";
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    stray.body = R"({"address":")" + address + R"(","born":)" +
+                 std::to_string(std::chrono::duration_cast<milliseconds>(wall).count()) + R"(,"info":{"service":")" +
+                 service + R"(","version":"v1","zone":"z","capacity":20},)" +
+                 R"("status":{"state":"ready","sequence":1,"cold_left":"0ms"}})";
+    support::HttpCaller control("127.0.0.1", vm.ports.control_port);
+    CHECK(control.call(stray).status == 400);
+    for (const char* const host : {"lookup.example", "desk.example"}) {
+      CHECK(fixture.send_request(vm, host, "/x").status == 200);
+      std::string caller;
+      fixture.fleet.on_loop([&] { caller = fixture.fleet.execution_log().caller_services[fixture.last_attempt]; });
+      CHECK(caller == "lookup");
+    }
+  }
+}
+
 TEST_CASE("a request that crashes its servers is quarantined") {
   ProcessFleetFixture fixture({{"lookup", true, 2, ""}}, "poison");
   for (int round = 0; round < 12; ++round) {
--- a/test/meshfleet/server.cc
+++ b/test/meshfleet/server.cc
@@ -114,6 +114,7 @@
     execution_log_.violations.push_back("attempt " + attempt + " has no X-Caller-Service");
   }
   ++execution_log_.runs[attempt];
+  execution_log_.caller_services[attempt] = http::find(headers, "X-Caller-Service");
   if (request->request.target.find("poison") != std::string::npos) {
     ++execution_log_.poison_crashes;
     // Deferred, since a crash closes the connection whose handler is running.
--- a/test/meshfleet/server.h
+++ b/test/meshfleet/server.h
@@ -26,6 +26,8 @@
 struct ExecutionLog {
   /// Number of executions by attempt id.
   std::map<std::string, int> runs;
+  /// Service in the caller header of the last execution, by attempt id.
+  std::map<std::string, std::string> caller_services;
   /// Server crashes caused by requests whose path contains "poison".
   int poison_crashes = 0;
   std::vector<std::string> violations;
