--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -77,6 +78,14 @@
   return {(millis << 16U) | (std::random_device{}() & 0xFFFFU)};
 }
 
+bool is_peer_endpoint(const std::string& text) {
+  http::Endpoint endpoint;
+  error_code error;
+  if (!http::parse_endpoint(text, endpoint)) return false;
+  (void)asio::ip::make_address(endpoint.host, error);
+  return !error;
+}
+
 http::Endpoint to_http_endpoint(const settings::Endpoint& endpoint) { return {endpoint.host, endpoint.port}; }
 
 }  // namespace
@@ -190,6 +199,10 @@
     for (const KeyedRecord& record : records) {
       const auto entry = parse_member_entry(record.value);
       if (!entry) continue;
+      if (!is_peer_endpoint(record.key)) {
+        log.line(LogClass::kStateChange, "member_invalid", {{"key", record.key}});
+        continue;
+      }
       if (record.key != self) {
         fleet.learn({record.key, entry->zone, entry->service}, Source::kListed);
         continue;
@@ -410,7 +423,7 @@
                 {"stopping", stopping},
                 {"requests", ingress.active()},
                 {"peers", std::move(peers_json)}}
-        .dump(2);
+        .dump(2, ' ', false, Json::error_handler_t::replace);
   }
 
   static std::string join(const std::vector<std::string>& names) {
--- a/src/damaskthread/mesh/member_entry.cc
+++ b/src/damaskthread/mesh/member_entry.cc
@@ -29,7 +29,7 @@
     object["left"] = entry.departed_server->id;
     object["left_started_ms"] = entry.departed_server->started_at_ms;
   }
-  return object.dump();
+  return object.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 std::optional<MemberEntry> parse_member_entry(const std::string& text) {
--- a/test/damaskthread/mesh/local_executor_test.cc
+++ b/test/damaskthread/mesh/local_executor_test.cc
@@ -266,6 +266,25 @@
   }
 }
 
+// A server that stops in the middle of its head: what has arrived must not pass for a response without a body.
+TEST_CASE("a response that ends within its head is never passed on") {
+  const std::string framing = "HTTP/1.1 200 OK\r\nAttempt: attempt-1\r\nSeal: x\r\n";
+  for (const std::string& head : {framing + "Content-Length: 2\r\n\r\n", framing + "Transfer-Encoding: chunked\r\n\r\n",
+                                  "HTTP/1.1 100 Continue\r\n\r\n" + framing + "\r\n"}) {
+    const bool until_close = head.ends_with("Seal: x\r\n\r\n");
+    for (std::size_t size = 0; size < head.size() + (until_close ? 0 : 1); ++size) {
+      ExecutorFixture fixture;
+      fixture.server.script = [&](const http::Request&, ScriptedServer::Connection& connection) {
+        connection.write(head.substr(0, size));
+        connection.finish();
+      };
+      const peer::Result result = fixture.execute_and_wait(ExecutorFixture::request(1));
+      CHECK_MESSAGE(!result.answered, head.substr(0, size));
+      CHECK(result.verdict.execution == core::Execution::kMayHaveRun);
+    }
+  }
+}
+
 TEST_CASE("a response without a length is complete when its connection is closed cleanly") {
   ExecutorFixture fixture;
   fixture.server.script = [](const http::Request&, ScriptedServer::Connection& connection) {
--- a/test/meshfleet/fleet_test.cc
+++ b/test/meshfleet/fleet_test.cc
@@ -98,6 +98,21 @@
     CHECK(violations().empty());
   }
 
+  // Sends a heartbeat of a server that has just started and returns the status of the answer.
+  static int send_heartbeat(const Vm& vm, const std::string& id, const std::string& service, const std::string& address,
+                            const std::string& state) {
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    support::HttpCall call;
+    call.method = "POST";
+    call.target = "/rpc?call=instances.heartbeat&of=" + id;
+    call.body = R"({"address":")" + address + R"(","born":)" +
+                std::to_string(std::chrono::duration_cast<milliseconds>(wall).count()) + R"(,"info":{"service":")" +
+                service + R"(","version":"v1","zone":"z","capacity":20},"status":{"state":")" + state +
+                R"(","sequence":1,"cold_left":"0ms"}})";
+    support::HttpCaller caller("127.0.0.1", vm.ports.control_port);
+    return caller.call(call).status;
+  }
+
   // Publishes a configuration and checks that every daemon has it in force within the bound.
   void check_in_force_everywhere() {
     fleet.publish();
@@ -245,16 +260,7 @@
       {"nosuchservice", own_address}, {"desk", own_address}, {"lookup", "127.0.0.1:1"}};
   for (const auto& [service, address] : senders) {
     CAPTURE(service);
-    support::HttpCall stray;
-    stray.method = "POST";
-    stray.target = "/rpc?call=instances.heartbeat&of=i-stray";
-    const auto wall = std::chrono::system_clock::now().time_since_epoch();
-    stray.body = R"({"address":")" + address + R"(","born":)" +
-                 std::to_string(std::chrono::duration_cast<milliseconds>(wall).count()) + R"(,"info":{"service":")" +
-                 service + R"(","version":"v1","zone":"z","capacity":20},)" +
-                 R"("status":{"state":"ready","sequence":1,"cold_left":"0ms"}})";
-    support::HttpCaller control("127.0.0.1", vm.ports.control_port);
-    CHECK(control.call(stray).status == 400);
+    CHECK(fixture.send_heartbeat(vm, "i-stray", service, address, "ready") == 400);
     for (const char* const host : {"lookup.example", "desk.example"}) {
       CHECK(fixture.send_request(vm, host, "/x").status == 200);
       std::string caller;
@@ -264,6 +270,34 @@
   }
 }
 
+TEST_CASE("odd entries of another writer neither end a daemon nor keep it from the sound ones") {
+  ProcessFleetFixture fixture({{"lookup", true, 2, ""}, {"desk", true, 1, ""}}, "odd-entries");
+  const std::string nested(100'000, '[');
+  const std::string zone = R"({"zone":"z","service":"desk","left":"i-1","left_started_ms":)";
+  fixture.fleet.on_loop([&] {
+    Store& store = fixture.fleet.store();
+    store.write_member("127.0.0.1:1", nested);
+    store.write_member("127.0.0.1:2", zone + nested + std::string(nested.size(), ']') + "}");
+    store.write_member("127.0.0.1:3", zone + "1e999}");
+    store.write_member("127.0.0.1:99999", zone + "1}");
+    store.write_member("no address", zone + "1}");
+  });
+  Vm& vm = fixture.fleet.vm("lookup-0");
+  Fleet::kill_daemon(vm);
+  fixture.fleet.start_daemon(vm);
+  REQUIRE(support::wait_for_port(vm.ports.control_port));
+  for (const char* const host : {"lookup.example", "desk.example"}) {
+    CHECK(fixture.served_within(kTestTimeout, vm, host));
+  }
+  // The id of a leaving server is written to the member list and sent in headers.
+  const std::string own_address = "127.0.0.1:" + std::to_string(vm.ports.server_port);
+  for (const char* const id : {"i-\xff\xfe", ""}) {
+    CHECK(fixture.send_heartbeat(vm, id, "lookup", own_address, "draining") == 400);
+  }
+  CHECK(fixture.served_within(kTestTimeout, vm, "lookup.example"));
+  CHECK(!vm.daemon->wait(milliseconds(0)));
+}
+
 TEST_CASE("a request that crashes its servers is quarantined") {
   ProcessFleetFixture fixture({{"lookup", true, 2, ""}}, "poison");
   for (int round = 0; round < 12; ++round) {
--- a/test/meshfleet/store.cc
+++ b/test/meshfleet/store.cc
@@ -95,6 +95,10 @@
   topics_["keyed.op"].records.push_back({key, value});
 }
 
+void Store::write_member(const std::string& key, const std::string& value) {
+  topics_["keyed.members"].records.push_back({key, value});
+}
+
 void Store::forget_history() {
   for (auto& [name, topic] : topics_) topic.first = topic.records.size();
 }
--- a/test/meshfleet/store.h
+++ b/test/meshfleet/store.h
@@ -32,6 +32,8 @@
   [[nodiscard]] int calls() const noexcept { return calls_; }
   /// @brief Writes a record as the operator does, regardless of the injected fault.
   void write_as_operator(const std::string& key, const std::string& value);
+  /// @brief Writes an entry of the member list, as a daemon or another writer does.
+  void write_member(const std::string& key, const std::string& value);
 
  private:
   struct Record {
--- a/test/platform/adapter_test.cc
+++ b/test/platform/adapter_test.cc
@@ -74,6 +74,28 @@
   }
 }
 
+// Other writers' entries must neither end the process nor change a number on the way.
+TEST_CASE("a heartbeat with numbers out of range, deep nesting or an unprintable id is malformed") {
+  std::string nested(200'000, '[');
+  for (const std::string& body :
+       {replace_first(kHeartbeat, "66", "4294967297"), replace_first(kHeartbeat, "66", "1e300"),
+        replace_first(kHeartbeat, "66", "18446744073709551615"), replace_first(kHeartbeat, "66", "-1"),
+        replace_first(kHeartbeat, "\"sequence\":4", "\"sequence\":18446744073709551615"),
+        replace_first(kHeartbeat, "1779457800020", "9223372036854775808"),
+        replace_first(kHeartbeat, "1779457800020", std::string(400, '9')),
+        replace_first(kHeartbeat, "1500ms", "1e300s"), nested, replace_first(kHeartbeat, "66", nested),
+        replace_first(kHeartbeat, "66", nested + std::string(nested.size(), ']'))}) {
+    CHECK_MESSAGE(std::holds_alternative<mesh::MalformedCall>(parse_heartbeat("i-1", body)), body.substr(0, 300));
+  }
+  const StoreAdapter adapter;
+  for (const std::string& id :
+       {std::string(), std::string("i-\xff\xfe"), std::string("i-\n1"), std::string(300, 'i')}) {
+    CHECK(std::holds_alternative<mesh::MalformedCall>(parse_heartbeat(id, kHeartbeat)));
+    const http::Request leave{"POST", "/rpc?call=instances.deregister&of=" + id, {}, ""};
+    CHECK(std::holds_alternative<mesh::MalformedCall>(adapter.parse_control_call(leave)));
+  }
+}
+
 TEST_CASE("control calls are distinguished by their request targets") {
   const StoreAdapter adapter;
   const auto call = [&](const std::string& target, const std::string& body) {
