--- a/test/meshfleet/fleet.cc
+++ b/test/meshfleet/fleet.cc
@@ -54,7 +54,8 @@
   auto vm = std::make_unique<Vm>();
   vm->service = service.name;
   vm->name = service.name + "-" + std::to_string(index);
-  vm->ports = {reserve_port(), reserve_port(), reserve_port()};
+  vm->ports = {reserve_port(), reserve_port(), reserve_port(),
+               service.server_proxies ? reserve_port() : std::uint16_t{0}};
   vm->peer_port = reserve_port();
   vm->readiness_port = reserve_port();
   vm->peer_proxy_port = reserve_port();
@@ -69,7 +70,7 @@
                            {"advertised", local(vm->peer_proxy_port)},
                            {"ready", local(vm->readiness_port)},
                            {"control", local(vm->ports.control_port)}}},
-                         {"local_server", local(vm->ports.server_port)},
+                         {"local_server", local(vm->ports.local_server())},
                          {"store", local(vm->store_proxy_port)},
                          {"heartbeat", "300ms"},
                          {"promises", {{"grace", "6s"}, {"repeat_slack", 50}}}};
@@ -77,6 +78,9 @@
   const std::string callee = service.callee.empty() ? "" : service.callee + ".example";
   vm->server = std::make_unique<Server>(io_, service.name, vm->ports, callee, execution_log_,
                                         static_cast<unsigned>(vms_.size()));
+  if (service.server_proxies) {
+    vm->server_proxy = std::make_unique<Proxy>(io_, vm->ports.server_proxy_port, vm->ports.server_port);
+  }
   vm->peer_proxy = std::make_unique<Proxy>(io_, vm->peer_proxy_port, vm->peer_port);
   vm->store_proxy = std::make_unique<Proxy>(io_, vm->store_proxy_port, store_port);
   vms_.push_back(std::move(vm));
--- a/test/meshfleet/fleet.h
+++ b/test/meshfleet/fleet.h
@@ -31,6 +31,8 @@
   int vms = 3;
   /// Service that each execution calls once; empty if none.
   std::string callee;
+  /// Whether the daemons reach their servers through proxies, which can repeat responses.
+  bool server_proxies = false;
 };
 
 /// Ports and processes of one VM.
@@ -45,6 +47,8 @@
   std::unique_ptr<Server> server;
   std::unique_ptr<Proxy> peer_proxy;
   std::unique_ptr<Proxy> store_proxy;
+  /// Null if the service has no server proxies.
+  std::unique_ptr<Proxy> server_proxy;
   std::unique_ptr<support::ChildProcess> daemon;
   std::string settings_path;
 };
--- a/test/meshfleet/fleet_test.cc
+++ b/test/meshfleet/fleet_test.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <csignal>
 #include <functional>
+#include <map>
 #include <string>
 #include <thread>
 #include <utility>
@@ -373,6 +374,34 @@
   }
 }
 
+// Servers that reject part of the requests, which are sent again, and send each response once more before the next one.
+TEST_CASE("a non-idempotent request runs once while servers reject requests and repeat responses") {
+  ServiceSpec service{"payment", false, 1, ""};
+  service.server_proxies = true;
+  ProcessFleetFixture fixture({service}, "repeated-responses");
+  fixture.fleet.on_loop([&] {
+    for (const auto& vm : fixture.fleet.vms()) {
+      vm->server->set_rejected_share(0.15);
+      vm->server_proxy->set_mode(Proxy::Mode::kRepeatResponses);
+    }
+  });
+  int served = 0;
+  std::map<std::string, int> statuses;
+  for (int i = 0; i < 300; ++i) {
+    const int status = fixture.send_request(*fixture.fleet.vms().front(), "payment.example", "/pay").status;
+    statuses[fixture.last_attempt] = status;
+    if (status == 200) ++served;
+  }
+  CHECK(served > 200);
+  fixture.fleet.on_loop([&] {
+    for (const auto& [attempt, status] : statuses) {
+      const int runs = fixture.fleet.execution_log().runs[attempt];
+      CHECK_MESSAGE(runs <= 1, attempt);
+      CHECK_MESSAGE((status != 503 || runs == 0), attempt);
+    }
+  });
+}
+
 TEST_CASE("repeats stay within the budget while every server fails") {
   ProcessFleetFixture fixture({{"lookup", true, 2, ""}}, "repeats");
   fixture.fleet.on_loop([&] {
--- a/test/meshfleet/proxy.cc
+++ b/test/meshfleet/proxy.cc
@@ -61,7 +61,16 @@
       (from_client ? held_for_upstream_ : held_for_client_).append(bytes);
       return;
     }
-    if (mode == Mode::kPass) {
+    if (mode == Mode::kRepeatResponses) {
+      if (from_client) {
+        client_->write(std::exchange(last_response_, {}));
+      } else {
+        last_response_.append(bytes);
+      }
+    } else {
+      last_response_.clear();
+    }
+    if (mode == Mode::kPass || mode == Mode::kRepeatResponses) {
       (from_client ? upstream_ : client_)->write(bytes);
       return;
     }
@@ -79,6 +88,7 @@
   Reader upstream_reader_;
   std::string held_for_upstream_;
   std::string held_for_client_;
+  std::string last_response_;
 };
 
 Proxy::Proxy(boost::asio::io_context& io, std::uint16_t port, std::uint16_t target)
--- a/test/meshfleet/proxy.h
+++ b/test/meshfleet/proxy.h
@@ -2,7 +2,7 @@
 #define TEST_MESHFLEET_PROXY_H_
 
 /// @file
-/// @brief Loopback proxy in front of a daemon's peer port or the store, with fault injection.
+/// @brief Loopback proxy in front of a daemon's peer port, the store or a server, with fault injection.
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -15,8 +15,10 @@
 /// @brief Forwards connections to a target port.
 class Proxy {
  public:
-  /// kSilent holds back the bytes of both directions, kOneWay those from the target.
-  enum class Mode { kPass, kDelay, kSilent, kOneWay };
+  /// kSilent holds back the bytes of both directions, kOneWay those from the target. kRepeatResponses sends each
+  /// response once more when the next request of its connection arrives; it is for connections that carry one request
+  /// at a time.
+  enum class Mode { kPass, kDelay, kSilent, kOneWay, kRepeatResponses };
 
   Proxy(boost::asio::io_context& io, std::uint16_t port, std::uint16_t target);
 
--- a/test/meshfleet/server.cc
+++ b/test/meshfleet/server.cc
@@ -75,7 +75,7 @@
   request.method = "POST";
   request.target = "/rpc?call=instances.heartbeat&of=" + id_;
   request.headers = {{"Host", address(ports_.control_port)}};
-  request.body = R"({"address":")" + address(ports_.server_port) + R"(","born":)" + std::to_string(started_at_ms_) +
+  request.body = R"({"address":")" + address(ports_.local_server()) + R"(","born":)" + std::to_string(started_at_ms_) +
                  R"(,"info":{"service":")" + service_ + R"(","version":"v1","zone":"z","capacity":)" +
                  std::to_string(kCapacity) + R"(},"status":{"state":")" + (leaving_ ? "draining" : "ready") +
                  R"(","sequence":)" + std::to_string(++sequence_) + R"(,"cold_left":"0ms"}})";
@@ -113,6 +113,10 @@
   if (http::find(headers, "X-Caller-Service").empty()) {
     execution_log_.violations.push_back("attempt " + attempt + " has no X-Caller-Service");
   }
+  if (std::uniform_real_distribution<double>(0, 1)(random_) < rejected_share_) {
+    request->answer({503, {{"X-Attempt-Id", attempt}, {"X-Not-Executed", "1"}}, ""});
+    return;
+  }
   ++execution_log_.runs[attempt];
   execution_log_.caller_services[attempt] = http::find(headers, "X-Caller-Service");
   if (request->request.target.find("poison") != std::string::npos) {
--- a/test/meshfleet/server.h
+++ b/test/meshfleet/server.h
@@ -38,6 +38,12 @@
   std::uint16_t server_port = 0;
   std::uint16_t caller_port = 0;
   std::uint16_t control_port = 0;
+  /// Port of a proxy through which the daemon reaches the server; 0 without one.
+  std::uint16_t server_proxy_port = 0;
+  /// @return The port at which the daemon reaches the server.
+  [[nodiscard]] std::uint16_t local_server() const noexcept {
+    return server_proxy_port == 0 ? server_port : server_proxy_port;
+  }
 };
 
 /// @brief Backend server of one VM; can be started again after a crash or departure.
@@ -60,6 +66,8 @@
   [[nodiscard]] bool leave_acknowledged() const noexcept { return leave_acknowledged_ != Clock::time_point::max(); }
   /// @brief Sets the status of all further responses.
   void set_status(int status) noexcept { status_ = status; }
+  /// @brief Sets the share of further requests that the server rejects without running them.
+  void set_rejected_share(double share) noexcept { rejected_share_ = share; }
 
   /// @brief Expected response body for an attempt.
   [[nodiscard]] static std::string response_body(const std::string& attempt_id);
@@ -88,6 +96,7 @@
   std::int64_t started_at_ms_ = 0;
   bool leaving_ = false;
   int status_ = 200;
+  double rejected_share_ = 0;
   /// Time at which the daemon acknowledged the departure.
   Clock::time_point leave_acknowledged_ = Clock::time_point::max();
 };
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -47,7 +47,7 @@
 constexpr seconds kMaxPropagationTime{2};
 
 const std::vector<meshfleet::ServiceSpec> services = {
-    {"lookup", true, 3, "pricing"}, {"payment", false, 3, ""}, {"pricing", true, 3, ""}};
+    {"lookup", true, 3, "pricing"}, {"payment", false, 3, "", true}, {"pricing", true, 3, ""}};
 
 std::int64_t now_ms() { return std::chrono::duration_cast<milliseconds>(Clock::now().time_since_epoch()).count(); }
 
@@ -166,6 +166,22 @@
     fleet_.on_loop([&] { vm.server->start(); });
   }
 
+  // Servers reject part of the requests and send each response once more.
+  void repeat_responses(Vm& /*vm*/, milliseconds length) {
+    set_repeated_responses(true);
+    std::this_thread::sleep_for(length);
+    set_repeated_responses(false);
+  }
+  void set_repeated_responses(bool on) {
+    fleet_.on_loop([&] {
+      for (const auto& vm : fleet_.vms()) {
+        if (vm->server_proxy == nullptr) continue;
+        vm->server->set_rejected_share(on ? 0.3 : 0);
+        vm->server_proxy->set_mode(on ? Proxy::Mode::kRepeatResponses : Proxy::Mode::kPass);
+      }
+    });
+  }
+
   struct FaultKind {
     const char* name;
     void (Soak::*inject)(Vm&, milliseconds);
@@ -317,6 +333,7 @@
     {"crash-server", &Soak::crash_server},
     {"replace-server", &Soak::replace_server},
     {"replace-server-of-killed-daemon", &Soak::replace_server_of_killed_daemon},
+    {"repeat-responses", &Soak::repeat_responses},
 };
 
 }  // namespace
