Probe a server under the id of a deregistration that came before any heartbeat

What callers would have seen: a server that deregisters before its daemon has heard a heartbeat of it, and whose first heartbeat is late, would have got requests after its leave was acknowledged (DRAIN); and the departure without a start time would have been written to the member entry, to apply to every later start after a restart of the daemon (RECOVER again).

Cause: took each heartbeat with one of the first two sequence numbers for a new start.

Change: such a server is unverified until its health check answers, and the departure gets a start time from it. Departures without a start time are neither read from the member list.

Conclusion: where a message names no start time, the server itself is asked.

--- a/src/damaskthread/gate/server_lifecycle.cc
+++ b/src/damaskthread/gate/server_lifecycle.cc
@@ -43,10 +43,18 @@
     const bool first = !last_heartbeat_;
     last_heartbeat_ = heartbeat;
     last_heartbeat_time_ = now;
+    // A deregistration names no start time: this may be the incarnation that sent it, with a delayed first heartbeat,
+    // or the next one. Its health check tells.
+    const bool may_have_departed = departed_ && departed_->id == heartbeat.id && departed_->started_at_ms == 0;
     deregistered_ = is_departed(heartbeat);
-    if (deregistered_ || heartbeat.leaving) departed_ = ServerIncarnation{heartbeat.id, heartbeat.started_at_ms};
+    if (deregistered_ || heartbeat.leaving) {
+      departed_ = ServerIncarnation{heartbeat.id, heartbeat.started_at_ms};
+    } else if (may_have_departed) {
+      departed_->started_at_ms = heartbeat.started_at_ms - 1;
+    }
     reachable_ = true;
-    verified_ = !first || heartbeat.sequence <= kMaxInitialSequence || heartbeat.leaving;
+    const bool from_its_start = !first || heartbeat.sequence <= kMaxInitialSequence;
+    verified_ = heartbeat.leaving || (from_its_start && !may_have_departed);
     first_sequence_ = heartbeat.sequence;
     return Effect::kNewIncarnation;
   }
--- a/src/damaskthread/mesh/member_entry.cc
+++ b/src/damaskthread/mesh/member_entry.cc
@@ -12,13 +12,15 @@
   return field != object.end() && field->is_string() ? field->get<std::string>() : std::string();
 }
 
-// Entries of earlier versions have no start time. Their departures are dropped, since they would also apply to a server
-// that has started again under the same id.
+// A departure without a start time, as in entries of earlier versions, is dropped: it would also apply to a server that
+// has started again under the same id.
 std::optional<gate::ServerIncarnation> departed_server(const Json& object) {
   const std::string id = string_field(object, "left");
   const auto started = object.find("left_started_ms");
   if (id.empty() || started == object.end() || !started->is_number_integer()) return std::nullopt;
-  return gate::ServerIncarnation{id, started->get<std::int64_t>()};
+  const auto started_at_ms = started->get<std::int64_t>();
+  if (started_at_ms <= 0) return std::nullopt;
+  return gate::ServerIncarnation{id, started_at_ms};
 }
 
 }  // namespace
--- a/test/damaskthread/gate/server_lifecycle_test.cc
+++ b/test/damaskthread/gate/server_lifecycle_test.cc
@@ -115,11 +115,25 @@
   CHECK(life.state(kStart) == ServerState::kReady);
 }
 
-TEST_CASE("a server that starts again after a deregistration received before any heartbeat is used") {
+// A deregistration has no start time, and the first heartbeat of the server that sent it may still be on its way.
+TEST_CASE("after a deregistration received before any heartbeat a server under that id is probed") {
   ServerLifecycle life(seconds{5});
   (void)life.on_deregistration("a", kStart);
   (void)life.on_heartbeat(heartbeat("a", 2000, 1), kStart);
+  CHECK(life.state(kStart) == ServerState::kUnverified);
+  life.record_health_check("a", false);
+  CHECK(life.state(kStart) == ServerState::kUnverified);
+  life.record_health_check("a", true);
+  CHECK(life.state(kStart) == ServerState::kReady);
+}
+
+TEST_CASE("a deregistration received before any heartbeat does not apply to later starts under that id") {
+  ServerLifecycle life(seconds{5});
+  (void)life.on_deregistration("a", kStart);
+  (void)life.on_heartbeat(heartbeat("a", 2000, 1), kStart);
+  (void)life.on_heartbeat(heartbeat("a", 3000, 7), kStart);
   CHECK(life.state(kStart) == ServerState::kReady);
+  CHECK(life.on_heartbeat(heartbeat("a", 1999, 8), kStart) == ServerLifecycle::Effect::kIgnored);
 }
 
 TEST_CASE("a departure restored after the first heartbeat takes effect") {
--- a/test/damaskthread/mesh/member_entry_test.cc
+++ b/test/damaskthread/mesh/member_entry_test.cc
@@ -38,8 +38,9 @@
 }
 
 TEST_CASE("a departure without a start time is dropped, since it would apply to every start under that id") {
-  for (const char* text : {R"({"zone": "z", "left": "i-1"})", R"({"zone": "z", "left": "i-1", "left_started_ms": "1"})",
-                           R"({"zone": "z", "left_started_ms": 1})"}) {
+  for (const char* text :
+       {R"({"zone": "z", "left": "i-1"})", R"({"zone": "z", "left": "i-1", "left_started_ms": "1"})",
+        R"({"zone": "z", "left": "i-1", "left_started_ms": 0})", R"({"zone": "z", "left_started_ms": 1})"}) {
     const auto entry = parse_member_entry(text);
     REQUIRE_MESSAGE(entry, text);
     CHECK_MESSAGE(!entry->departed_server, text);
