--- a/test/meshfleet/fleet_test.cc
+++ b/test/meshfleet/fleet_test.cc
@@ -9,7 +9,6 @@
 #include <map>
 #include <string>
 #include <thread>
-#include <utility>
 #include <vector>
 
 #include "support/child_process.h"
@@ -257,11 +256,15 @@
   ProcessFleetFixture fixture({{"lookup", true, 1, ""}, {"desk", true, 1, ""}}, "foreign-heartbeat");
   const Vm& vm = fixture.fleet.vm("lookup-0");
   const std::string own_address = "127.0.0.1:" + std::to_string(vm.ports.server_port);
-  const std::vector<std::pair<std::string, std::string>> senders = {
+  struct Sender {
+    std::string service;
+    std::string address;
+  };
+  const std::vector<Sender> senders = {
       {"nosuchservice", own_address}, {"desk", own_address}, {"lookup", "127.0.0.1:1"}};
-  for (const auto& [service, address] : senders) {
-    CAPTURE(service);
-    CHECK(fixture.send_heartbeat(vm, "i-stray", service, address, "ready") == 400);
+  for (const Sender& sender : senders) {
+    CAPTURE(sender.service);
+    CHECK(fixture.send_heartbeat(vm, "i-stray", sender.service, sender.address, "ready") == 400);
     for (const char* const host : {"lookup.example", "desk.example"}) {
       CHECK(fixture.send_request(vm, host, "/x").status == 200);
       std::string caller;
@@ -394,10 +397,10 @@
   }
   CHECK(served > 200);
   fixture.fleet.on_loop([&] {
-    for (const auto& [attempt, status] : statuses) {
-      const int runs = fixture.fleet.execution_log().runs[attempt];
-      CHECK_MESSAGE(runs <= 1, attempt);
-      CHECK_MESSAGE((status != 503 || runs == 0), attempt);
+    for (const auto& entry : statuses) {
+      const int runs = fixture.fleet.execution_log().runs[entry.first];
+      CHECK_MESSAGE(runs <= 1, entry.first);
+      CHECK_MESSAGE((entry.second != 503 || runs == 0), entry.first);
     }
   });
 }
