Parse pipelined requests in order and run idempotent ones concurrently

Cause: bytes that arrived while a request was in progress were kept beside the reader and parsed in a deferred step. If more bytes arrived between the response and that step, they went into the reader first, so that the later request was dispatched before the earlier one and their responses were swapped. Ruled out: the links between daemons and the matching of responses at the server connection; stream numbers and attempt ids are unique there, and the swap showed at the moment at which the first response was sent. Change: all bytes go into the reader at once. Requests that the listener's rule allows (idempotent ones) run concurrently, at most 16 on a connection; any other waits until it is first. Responses are sent in request order. While draining, the response to the last request in progress closes the connection. Test: "requests sent ahead are processed in order when more bytes arrive together with a response" failed on the code before (/3 was dispatched before /2) and passes now.

--- a/src/damaskthread/mesh/http_codec.cc
+++ b/src/damaskthread/mesh/http_codec.cc
@@ -99,6 +99,7 @@
 ReadState RequestReader::parse_pending() { return parse(*parser_, pending_); }
 
 bool RequestReader::started() const noexcept { return parser_->got_some() || !pending_.empty(); }
+std::size_t RequestReader::held_bytes() const noexcept { return pending_.size() + parser_->get().body().size(); }
 bool RequestReader::header_complete() const noexcept { return parser_->is_header_done(); }
 
 bool RequestReader::expects_continue() const {
--- a/src/damaskthread/mesh/http_codec.h
+++ b/src/damaskthread/mesh/http_codec.h
@@ -39,6 +39,8 @@
   [[nodiscard]] bool keep_alive() const noexcept { return keep_alive_; }
   /// @return Bytes received but not yet parsed.
   [[nodiscard]] std::size_t pending_bytes() const noexcept { return pending_.size(); }
+  /// @return Bytes buffered for requests that were not taken yet.
+  [[nodiscard]] std::size_t held_bytes() const noexcept;
 
  private:
   struct Parser;
--- a/src/damaskthread/mesh/http_listener.cc
+++ b/src/damaskthread/mesh/http_listener.cc
@@ -12,8 +12,10 @@
 
 namespace asio = boost::asio;
 
-// Reading pauses when a caller pipelines more than this while its request runs.
+// Reading pauses when a caller pipelines more than this while its requests run.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} << 10U;
+// Requests of one connection that run concurrently; a connection must not occupy a server's slots alone.
+constexpr std::size_t kMaxConcurrentRequests = 16;
 constexpr core::Duration kFirstRequestDelay = std::chrono::milliseconds{100};
 constexpr int kBadRequest = 400;
 constexpr int kTimeout = 408;
@@ -44,24 +46,27 @@
 void Session::start() { stream_->start(this); }
 
 void Session::on_bytes(std::string_view bytes) {
+  if (input_ended_) return;
   const auto self = shared_from_this();
   last_activity_ = now();
-  if (current_request_ != nullptr) {
-    // Data of a pipelined request; it is parsed when the current request is answered.
-    pipelined_bytes_.append(bytes);
-    if (pipelined_bytes_.size() > kMaxPipelinedBytes) stream_->pause();
-    return;
-  }
-  handle(reader_.add(bytes));
+  process(reader_.add(bytes));
 }
 
-void Session::handle(ReadState state) {
-  if (state == ReadState::kDone) {
-    dispatch();
+void Session::process(ReadState state) {
+  while (!input_ended_ && state == ReadState::kDone && !waiting_request_) {
+    accept_request();
+    if (input_ended_ || waiting_request_) return;
+    state = reader_.parse_pending();
+  }
+  if (input_ended_) return;
+  if (state != ReadState::kDone && state != ReadState::kNeedMore) {
+    input_ended_ = true;
+    reject_status_ = error_status(state);
+    if (exchanges_.empty() && !waiting_request_) reject(*reject_status_);
     return;
   }
-  if (state != ReadState::kNeedMore) {
-    reject(error_status(state));
+  if (!exchanges_.empty() || waiting_request_) {
+    if (reader_.held_bytes() > kMaxPipelinedBytes) stream_->pause();
     return;
   }
   if (!continue_sent_ && reader_.header_complete() && reader_.expects_continue()) {
@@ -70,33 +75,76 @@
   }
 }
 
-void Session::dispatch() {
+void Session::accept_request() {
   continue_sent_ = false;
-  current_request_ = std::make_shared<CallerRequest>(reader_.take(), last_activity_);
-  const auto request = current_request_;
-  request->send_response_ = [weak = weak_from_this()](const http::Response& response) {
-    if (const auto self = weak.lock()) self->send(response);
+  WaitingRequest accepted{reader_.take(), last_activity_, !reader_.keep_alive()};
+  if (may_dispatch(accepted.message)) {
+    dispatch(std::move(accepted));
+  } else {
+    waiting_request_ = std::move(accepted);
+  }
+}
+
+bool Session::may_dispatch(const http::Request& message) const {
+  if (exchanges_.empty()) return true;
+  return !listener_.draining_ && exchanges_.size() < kMaxConcurrentRequests && listener_.pipelining_rule_ &&
+         listener_.pipelining_rule_(message);
+}
+
+void Session::dispatch(WaitingRequest&& waiting) {
+  const auto request = std::make_shared<CallerRequest>(std::move(waiting.message), waiting.received);
+  exchanges_.push_back({request, std::nullopt, waiting.last});
+  input_ended_ = waiting.last;
+  request->send_response_ = [weak = weak_from_this(), key = request.get()](const http::Response& response) {
+    if (const auto self = weak.lock()) self->record_response(key, response);
   };
   listener_.handler_(request);
 }
 
-void Session::send(const http::Response& response) {
-  if (current_request_ == nullptr) return;
-  current_request_.reset();
-  last_activity_ = now();
-  const bool close = listener_.draining_ || !reader_.keep_alive();
-  stream_->write(to_bytes(response, close));
-  if (close) {
-    listener_.close_after_response(shared_from_this(), stream_);
+void Session::resume() {
+  resume_pending_ = false;
+  if (!stream_->open()) return;
+  if (waiting_request_ && may_dispatch(waiting_request_->message)) {
+    WaitingRequest next = std::move(*waiting_request_);
+    waiting_request_.reset();
+    dispatch(std::move(next));
+  }
+  if (reject_status_ && exchanges_.empty() && !waiting_request_) return reject(*reject_status_);
+  if (input_ended_) return;
+  process(reader_.parse_pending());
+  if (exchanges_.empty() || reader_.held_bytes() <= kMaxPipelinedBytes) stream_->resume();
+}
+
+void Session::record_response(const CallerRequest* request, const http::Response& response) {
+  const auto found = std::find_if(exchanges_.begin(), exchanges_.end(),
+                                  [request](const Exchange& exchange) { return exchange.request.get() == request; });
+  if (found == exchanges_.end()) return;
+  if (found != exchanges_.begin()) {
+    found->response = response;
     return;
   }
+  if (!send_first(response)) return;
+  while (!exchanges_.empty() && exchanges_.front().response) {
+    const http::Response next = std::move(*exchanges_.front().response);
+    if (!send_first(next)) return;
+  }
   stream_->resume();
-  if (reader_.pending_bytes() == 0 && pipelined_bytes_.empty()) return;
+  if (resume_pending_ || (!waiting_request_ && !reject_status_ && reader_.pending_bytes() == 0)) return;
   // Deferred, so that the handler of the answered request is not re-entered.
-  asio::post(listener_.io_, [self = shared_from_this()] {
-    if (self->current_request_ != nullptr || !self->stream_->open()) return;
-    self->handle(self->reader_.add(std::exchange(self->pipelined_bytes_, {})));
-  });
+  resume_pending_ = true;
+  asio::post(listener_.io_, [self = shared_from_this()] { self->resume(); });
+}
+
+bool Session::send_first(const http::Response& response) {
+  const bool last = exchanges_.front().last;
+  exchanges_.pop_front();
+  last_activity_ = now();
+  const bool close = last || (listener_.draining_ && exchanges_.empty());
+  stream_->write(to_bytes(response, close));
+  if (!close) return true;
+  input_ended_ = true;
+  listener_.close_after_response(shared_from_this(), stream_);
+  return false;
 }
 
 void Session::reject(int status) {
@@ -117,16 +165,17 @@
 void Session::drop() {
   const auto self = shared_from_this();
   stream_->close();
+  input_ended_ = true;
   listener_.sessions_.erase(self);
-  const auto request = std::exchange(current_request_, nullptr);
-  if (request == nullptr) return;
-  request->done_ = true;
-  const auto on_disconnect = std::exchange(request->disconnect_callback_, nullptr);
-  if (on_disconnect) on_disconnect();
+  for (const Exchange& exchange : std::exchange(exchanges_, {})) {
+    exchange.request->done_ = true;
+    const auto on_disconnect = std::exchange(exchange.request->disconnect_callback_, nullptr);
+    if (on_disconnect) on_disconnect();
+  }
 }
 
 void Session::sweep(core::TimePoint now) {
-  if (current_request_ != nullptr) return;
+  if (!exchanges_.empty() || waiting_request_) return;
   const core::Duration idle_time = now - last_activity_;
   if (idle()) {
     if (idle_time > listener_.caller_limits_.idle_time) close_if_idle();
--- a/src/damaskthread/mesh/http_listener.h
+++ b/src/damaskthread/mesh/http_listener.h
@@ -7,8 +7,10 @@
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -48,8 +50,11 @@
 
 /// Called with each complete request; must answer it eventually.
 using RequestHandler = std::function<void(const std::shared_ptr<CallerRequest>&)>;
+/// Returns whether a pipelined request may run before the requests in front of it are answered.
+using PipeliningRule = std::function<bool(const http::Request&)>;
 
-/// @brief A connection of a caller.
+/// @brief A connection of a caller. Pipelined requests that the listener's rule allows run concurrently; all others
+/// wait until they are first. Responses are sent in request order.
 class Session : public StreamHandler, public std::enable_shared_from_this<Session> {
  public:
   Session(HttpListener& listener, Stream::Socket socket);
@@ -64,21 +69,51 @@
   /// @brief Closes the connection unless a request has arrived. Queued data is still sent.
   void close_if_idle();
   [[nodiscard]] core::TimePoint last_activity() const noexcept { return last_activity_; }
-  [[nodiscard]] bool idle() const noexcept { return current_request_ == nullptr && !reader_.started(); }
+  [[nodiscard]] bool idle() const noexcept { return exchanges_.empty() && !waiting_request_ && !reader_.started(); }
 
  private:
-  void handle(ReadState state);
-  void dispatch();
-  void send(const http::Response& response);
+  // A dispatched request and, once it is answered, its response.
+  struct Exchange {
+    std::shared_ptr<CallerRequest> request;
+    std::optional<http::Response> response;
+    /// The caller asked to close the connection after this request.
+    bool last = false;
+  };
+  // A complete request that must wait for the requests in front of it.
+  struct WaitingRequest {
+    http::Request message;
+    core::TimePoint received;
+    bool last = false;
+  };
+
+  /// Dispatches parsed requests until more input is needed or a request has to wait.
+  void process(ReadState state);
+  /// Takes the parsed request from the reader and dispatches it if it may run now.
+  void accept_request();
+  [[nodiscard]] bool may_dispatch(const http::Request& message) const;
+  void dispatch(WaitingRequest&& waiting);
+  /// Continues with requests that waited for a response.
+  void resume();
+  /// Sends the response, or keeps it until the requests in front are answered.
+  void record_response(const CallerRequest* request, const http::Response& response);
+  /// Sends the response to the first request in progress.
+  /// @return Whether the connection stays open.
+  [[nodiscard]] bool send_first(const http::Response& response);
   void reject(int status);
 
   HttpListener& listener_;
   std::shared_ptr<Stream> stream_;
   RequestReader reader_;
-  std::shared_ptr<CallerRequest> current_request_;
+  /// Dispatched requests in the order of their arrival.
+  std::deque<Exchange> exchanges_;
+  std::optional<WaitingRequest> waiting_request_;
   core::TimePoint last_activity_;
   bool continue_sent_ = false;
-  std::string pipelined_bytes_;
+  /// Status of the response to invalid input, sent after the responses to the requests before it.
+  std::optional<int> reject_status_;
+  /// No request is accepted any more: the last one was read, or the connection is closing.
+  bool input_ended_ = false;
+  bool resume_pending_ = false;
 };
 
 /// @brief Listens on one address and manages the sessions of its callers.
@@ -91,7 +126,9 @@
 
   /// @brief Sets the size limits of new connections and the timeouts of all connections.
   void set_caller_limits(const route::CallerLimits& limits) { caller_limits_ = limits; }
-  /// @brief From now on every response closes its connection.
+  /// @brief Lets pipelined requests run concurrently if a rule allows it; by default all run one after the other.
+  void set_pipelining_rule(PipeliningRule rule) { pipelining_rule_ = std::move(rule); }
+  /// @brief From now on a connection is closed by the response to the last of its requests that are in progress.
   void drain() noexcept { draining_ = true; }
   /// @brief Stops accepting connections and closes idle ones. Requests in progress are still answered, including those
   /// that have arrived but were not read yet. Must be called several times per second from then on.
@@ -114,6 +151,7 @@
   boost::asio::io_context& io_;
   std::size_t max_sessions_;
   RequestHandler handler_;
+  PipeliningRule pipelining_rule_;
   route::CallerLimits caller_limits_;
   bool draining_ = false;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
--- a/test/damaskthread/mesh/http_listener_test.cc
+++ b/test/damaskthread/mesh/http_listener_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
@@ -87,6 +88,90 @@
   CHECK(fixture.requests[2]->request.target == "/3");
 }
 
+// Two callers' requests that were sent ahead got each other's responses: bytes that arrived between a response and the
+// deferred parsing of earlier bytes were parsed first.
+TEST_CASE("requests sent ahead are processed in order when more bytes arrive together with a response") {
+  HttpListenerFixture fixture;
+  fixture.answer_immediately = false;
+  fixture.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 1; }));
+  fixture.send("POST /2 HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+  fixture.io.run_for(milliseconds(20));
+  fixture.io.restart();
+  fixture.send("POST /3 HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+  // Runs after the reactor has found the third request readable and before that request is read.
+  boost::asio::post(fixture.io, [&] { fixture.requests.front()->answer({200, {}, {}}); });
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 2; }));
+  CHECK(fixture.requests[1]->request.target == "/2");
+  fixture.requests[1]->answer({200, {}, {}});
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 3; }));
+  CHECK(fixture.requests[2]->request.target == "/3");
+}
+
+// Requests behind a slow one waited for it although nothing kept them from running.
+TEST_CASE("pipelined requests that the rule allows run concurrently and are answered in request order") {
+  HttpListenerFixture fixture;
+  fixture.answer_immediately = false;
+  fixture.listener.set_pipelining_rule([](const http::Request& request) { return request.method == "GET"; });
+  std::string requests;
+  for (int i = 0; i < 20; ++i) requests += "GET /" + std::to_string(i) + " HTTP/1.1\r\nHost: x\r\n\r\n";
+  fixture.send(requests);
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 16; }));
+  for (std::size_t i = 16; i-- > 1;) fixture.requests[i]->answer({200, {}, "body" + std::to_string(i) + "."});
+  CHECK(fixture.received.empty());
+  fixture.requests[0]->answer({200, {}, "body0."});
+  REQUIRE(fixture.wait([&] { return fixture.received.find("body15.") != std::string::npos; }));
+  for (int i = 1; i < 16; ++i) {
+    CHECK(fixture.received.find("body" + std::to_string(i - 1)) < fixture.received.find("body" + std::to_string(i)));
+  }
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 20; }));
+}
+
+// A pipelined request that may run once must not run if the response in front of it closes the connection, since its
+// caller then sends it again.
+TEST_CASE("a pipelined request that the rule does not allow waits until it is first") {
+  HttpListenerFixture fixture;
+  fixture.answer_immediately = false;
+  fixture.listener.set_pipelining_rule([](const http::Request& request) { return request.method == "GET"; });
+  fixture.send(
+      "GET /1 HTTP/1.1\r\nHost: x\r\n\r\nPOST /2 HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx"
+      "GET /3 HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 1; }));
+  fixture.io.run_for(milliseconds(20));
+  fixture.io.restart();
+  CHECK(fixture.requests.size() == 1);
+  fixture.listener.drain();
+  fixture.requests[0]->answer({200, {}, {}});
+  REQUIRE(fixture.wait([&] { return fixture.closed; }));
+  CHECK(fixture.requests.size() == 1);
+}
+
+TEST_CASE("invalid input behind a pipelined request is rejected after the response to that request") {
+  HttpListenerFixture fixture;
+  fixture.answer_immediately = false;
+  fixture.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nnonsense\r\n\r\n");
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 1; }));
+  fixture.requests[0]->answer({200, {}, {}});
+  REQUIRE(fixture.wait([&] { return fixture.closed; }));
+  CHECK(fixture.received.find(" 200 ") < fixture.received.find(" 400 "));
+  CHECK(fixture.received.find(" 400 ") != std::string::npos);
+}
+
+// A stop must not cut off a request that was passed on, also if it stands behind another one.
+TEST_CASE("while draining the response to the last request in progress closes the connection") {
+  HttpListenerFixture fixture;
+  fixture.answer_immediately = false;
+  fixture.listener.set_pipelining_rule([](const http::Request&) { return true; });
+  fixture.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 2; }));
+  fixture.listener.drain();
+  fixture.requests[0]->answer({200, {}, "first"});
+  fixture.requests[1]->answer({200, {}, "second"});
+  REQUIRE(fixture.wait([&] { return fixture.closed; }));
+  CHECK(fixture.received.find("first") < fixture.received.find("second"));
+  CHECK(fixture.received.find("second") != std::string::npos);
+}
+
 TEST_CASE("a request with conflicting lengths or beyond the limits is rejected and its connection closed") {
   const std::string huge(20'000, 'x');
   const std::vector<std::pair<std::string, std::string>> cases = {
