Recognize tenants by their keys and treat downloads as idempotent

The configuration may declare tenants. A request then needs a valid key unless its route is public or a running request made it; otherwise it is answered 401. The key is replaced by the tenant's name before the request leaves the ingress, whatever the caller sent under that name, so that no key reaches a server, another daemon or a log. A tenant's priority goes before the route's. Keys are looked up in the table in force, so that a withdrawn one ends on open connections too. Configurations without tenants are served as before: their headers are not touched.

--- a/src/damaskthread/mesh/adapter.h
+++ b/src/damaskthread/mesh/adapter.h
@@ -32,6 +32,9 @@
   std::string retry_after;       ///< Seconds, with fractions.
   std::string caller_service;    ///< Service of the VM where the request originated.
   std::string server_id;         ///< Id of the server that responds to a health check.
+  std::string credentials;       ///< Key of a caller's tenant.
+  std::string tenant;            ///< Name of the tenant, set for the server.
+  std::string store_era;         ///< Number that rises when the store was restored from a backup.
 };
 
 /// The deregistration of a server.
--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -120,6 +120,7 @@
                                                       [this](const auto& request) { answer_admin(*request); });
     }
     ingress.set_local_service(settings.service);
+    call_listener.set_pipelining_rule([this](const http::Request& request) { return ingress.is_idempotent(request); });
     (void)settings_file_changed();
     wait_for_signal();
     for (const settings::Endpoint& seed : settings.seeds) {
--- a/src/damaskthread/mesh/ingress.cc
+++ b/src/damaskthread/mesh/ingress.cc
@@ -29,6 +29,7 @@
 constexpr double kHonouredRetryAfterShare = 1.0 / 3;
 constexpr double kOverloadPressure = 0.05;
 
+constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr int kBadGateway = 502;
@@ -106,10 +107,13 @@
   exchange->caller = caller;
   exchange->table = table_;
   exchange->route = route;
-  exchange->service = split_.next(*route, random_).service;
   exchange->attempt_id = http::find(headers, names.attempt_id);
   exchange->priority = route->priority;
   inherit_from_parent(*exchange, time);
+  if (!authorize(*exchange)) {
+    return refuse_unrouted(caller, kUnauthorized, "no valid key", core::Duration::zero());
+  }
+  exchange->service = split_.next(*route, random_).service;
   interests_.record_use(exchange->service, time);
   exchange->received = caller->received;
   exchange->deadline = caller->received + parse_deadline(http::find(headers, names.time_left_ms));
@@ -127,6 +131,28 @@
   place(exchange, time);
 }
 
+bool Ingress::authorize(Exchange& exchange) {
+  const tenant::Directory& tenants = exchange.table->tenants();
+  if (tenants.empty()) return true;
+  const HeaderNames& names = dependencies_.adapter.headers();
+  http::Headers& headers = exchange.caller->request.headers;
+  const tenant::Access access =
+      tenant::check_access(tenants, headers, names.credentials, {exchange.route->is_public, exchange.inner});
+  if (!access.allowed) return false;
+  exchange.tenant = access.tenant;
+  if (access.tenant != nullptr && !exchange.inner) {
+    exchange.priority = access.tenant->priority.value_or(exchange.priority);
+  }
+  tenant::replace_credentials(headers, names.credentials, names.tenant, access.tenant);
+  return true;
+}
+
+bool Ingress::is_idempotent(const http::Request& request) const {
+  const route::Route* const route =
+      table_ == nullptr ? nullptr : table_->find(http::find(request.headers, "Host"), request.target);
+  return route != nullptr && route->idempotent;
+}
+
 void Ingress::inherit_from_parent(Exchange& exchange, core::TimePoint now) {
   const std::string_view parent_id = dependencies_.adapter.parent_attempt(exchange.attempt_id);
   const auto parent = parent_id.empty() ? std::nullopt : dependencies_.executor.running_attempt(parent_id);
--- a/src/damaskthread/mesh/ingress.h
+++ b/src/damaskthread/mesh/ingress.h
@@ -27,6 +27,7 @@
 #include "damaskthread/retry/next_step.h"
 #include "damaskthread/route/route_table.h"
 #include "damaskthread/route/weighted_split.h"
+#include "damaskthread/tenant/access.h"
 
 namespace damaskthread::mesh {
 
@@ -55,6 +56,8 @@
   /// @brief Sets the service of the local server, which is reported as the caller of its requests.
   void set_local_service(const std::string& service) { local_service_ = service; }
 
+  /// @return Whether a request may run more than once under the table in force.
+  [[nodiscard]] bool is_idempotent(const http::Request& request) const;
   /// @brief Routes a request and answers it asynchronously.
   void handle(const std::shared_ptr<CallerRequest>& caller);
   /// @brief Updates the throttle, retries requests that wait for a server and ends those past their deadline.
@@ -79,6 +82,8 @@
     std::shared_ptr<CallerRequest> caller;
     std::shared_ptr<const route::RouteTable> table;
     const route::Route* route = nullptr;
+    /// Tenant of the caller, owned by the table; null if the request carried no key.
+    const tenant::Tenant* tenant = nullptr;
     std::string service;
     std::string attempt_id;
     /// Nested call: made by a request that runs at the local server.
@@ -126,6 +131,9 @@
                        core::Duration retry_after);
   /// Finds the running request that made this call and takes over its repeat flag, and its priority if that is higher.
   void inherit_from_parent(Exchange& exchange, core::TimePoint now);
+  /// Checks the key of a request, replaces it by its tenant's name and takes over the tenant's priority.
+  /// @return Whether the request may enter.
+  [[nodiscard]] bool authorize(Exchange& exchange);
   /// Decides whether a new request passes the throttle, and counts it there.
   [[nodiscard]] bool admit(Exchange& exchange, core::TimePoint now);
   [[nodiscard]] std::optional<std::string> choose(const Exchange& exchange, core::TimePoint now);
--- a/src/damaskthread/route/route_table.cc
+++ b/src/damaskthread/route/route_table.cc
@@ -17,8 +17,13 @@
 }  // namespace
 
 RouteTable::RouteTable(std::uint64_t version, std::vector<Route> routes,
-                       std::unordered_map<std::string, ServiceProperties> services, CallerLimits caller_limits)
-    : version_(version), routes_(std::move(routes)), services_(std::move(services)), caller_limits_(caller_limits) {
+                       std::unordered_map<std::string, ServiceProperties> services, CallerLimits caller_limits,
+                       tenant::Directory tenants)
+    : version_(version),
+      routes_(std::move(routes)),
+      services_(std::move(services)),
+      caller_limits_(caller_limits),
+      tenants_(std::move(tenants)) {
   routes_by_prefix_.reserve(routes_.size());
   for (std::size_t i = 0; i < routes_.size(); ++i) {
     routes_by_prefix_.emplace(normalize_host(routes_[i].host) + routes_[i].prefix, i);
--- a/src/damaskthread/route/route_table.h
+++ b/src/damaskthread/route/route_table.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "damaskthread/core/types.h"
+#include "damaskthread/tenant/directory.h"
 
 namespace damaskthread::route {
 
@@ -39,6 +40,8 @@
   int priority = 0;
   /// Maximum number of servers that one request may be sent to.
   int max_servers = 1;
+  /// Whether requests need no key although tenants are declared.
+  bool is_public = false;
   std::vector<WeightedService> parts;
 };
 
@@ -65,8 +68,10 @@
   /// @param version Version set by the operator; a process only accepts increasing versions.
   /// @param routes All routes; of several with the same host and prefix the first is used.
   /// @param services Properties by service name.
+  /// @param tenants Tenants and their keys; without any, requests need no key.
   RouteTable(std::uint64_t version, std::vector<Route> routes,
-             std::unordered_map<std::string, ServiceProperties> services, CallerLimits caller_limits);
+             std::unordered_map<std::string, ServiceProperties> services, CallerLimits caller_limits,
+             tenant::Directory tenants = {});
 
   /// @brief Finds the route of the host with the longest matching prefix.
   /// @param host Host of the request; the port and letter case are ignored.
@@ -84,6 +89,7 @@
 
   [[nodiscard]] std::uint64_t version() const noexcept { return version_; }
   [[nodiscard]] const CallerLimits& caller_limits() const noexcept { return caller_limits_; }
+  [[nodiscard]] const tenant::Directory& tenants() const noexcept { return tenants_; }
   [[nodiscard]] const std::vector<Route>& routes() const noexcept { return routes_; }
 
  private:
@@ -91,6 +97,7 @@
   std::vector<Route> routes_;
   std::unordered_map<std::string, ServiceProperties> services_;
   CallerLimits caller_limits_;
+  tenant::Directory tenants_;
   /// Keyed by host and prefix, concatenated without a separator since every prefix begins with a slash.
   std::unordered_map<std::string, std::size_t> routes_by_prefix_;
   std::unordered_map<std::string, std::size_t> routes_by_name_;
--- a/test/damaskthread/mesh/ingress_test.cc
+++ b/test/damaskthread/mesh/ingress_test.cc
@@ -5,8 +5,12 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/leaf/handle_errors.hpp>
 #include <chrono>
 #include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include "damaskthread/mesh/clock.h"
 #include "scripted_server.h"
@@ -40,7 +44,6 @@
     announcement.capacity = 10;
     announcement.sequence = 1;
     REQUIRE(executor.on_heartbeat(announcement));
-    route::Route route;
     route.name = "r";
     route.host = "h.example";
     route.prefix = "/";
@@ -48,9 +51,7 @@
     route.objective = seconds{1};
     route.max_servers = 2;
     route.parts = {{"s", 1}};
-    ingress.set_table(std::make_shared<route::RouteTable>(1, std::vector<route::Route>{route},
-                                                          std::unordered_map<std::string, route::ServiceProperties>{},
-                                                          route::CallerLimits{}));
+    set_tenants({});
     for (const char* endpoint : {kOwnEndpoint, "127.0.0.1:1"}) {
       pool.set_reachable(endpoint, true);
       // The local server is in the same zone, so that it is chosen first.
@@ -66,9 +67,22 @@
     return result;
   }
 
-  std::string send_request() {
-    boost::asio::write(caller, boost::asio::buffer(std::string(
-                                   "GET /x HTTP/1.1\r\nHost: h.example\r\nAttempt: a\r\nTime-Left: 3000\r\n\r\n")));
+  void set_tenants(std::vector<tenant::Declaration> declarations) {
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+          BOOST_LEAF_AUTO(tenants, tenant::Directory::create(std::move(declarations)));
+          ingress.set_table(std::make_shared<route::RouteTable>(
+              ++version, std::vector<route::Route>{route}, std::unordered_map<std::string, route::ServiceProperties>{},
+              route::CallerLimits{}, std::move(tenants)));
+          return {};
+        },
+        [] { FAIL("the tenants are invalid"); });
+  }
+
+  std::string send_request(const std::string& headers = "") {
+    boost::asio::write(caller,
+                       boost::asio::buffer("GET /x HTTP/1.1\r\nHost: h.example\r\nAttempt: a\r\nTime-Left: 3000\r\n" +
+                                           headers + "\r\n"));
     std::string received;
     const auto end = std::chrono::steady_clock::now() + kTestTimeout;
     while (received.find("\r\n\r\n") == std::string::npos && std::chrono::steady_clock::now() < end) {
@@ -85,6 +99,8 @@
   }
 
   boost::asio::io_context io;
+  route::Route route;
+  std::uint64_t version = 0;
   support::TestAdapter adapter;
   ScriptedServer server;
   EventLog log;
@@ -129,4 +145,31 @@
   CHECK(received.find("Retry-After: ") != std::string::npos);
 }
 
+// The key of a tenant reached the server, and a caller could pass for any tenant.
+TEST_CASE("the server gets the tenant of the key and neither the key nor a tenant that the caller names") {
+  IngressFixture fixture(true);
+  fixture.server.script = [](const http::Request&, ScriptedServer::Connection& connection) {
+    connection.write(answer(200));
+  };
+  fixture.set_tenants({{{"a", std::nullopt, 0, 0}, {"secret"}}, {{"b", std::nullopt, 0, 0}, {"other"}}});
+  CHECK(fixture.send_request("Credentials: Bearer secret\r\nTenant: b\r\n").starts_with("HTTP/1.1 200"));
+  REQUIRE(fixture.server.requests.size() == 1);
+  CHECK(http::find(fixture.server.requests[0].headers, "Tenant") == "a");
+  CHECK(http::find(fixture.server.requests[0].headers, "Credentials").empty());
+}
+
+// A connection outlives the key that its first requests carried.
+TEST_CASE("a key that a new configuration no longer contains is refused on an open connection") {
+  IngressFixture fixture(true);
+  fixture.server.script = [](const http::Request&, ScriptedServer::Connection& connection) {
+    connection.write(answer(200));
+  };
+  fixture.set_tenants({{{"a", std::nullopt, 0, 0}, {"secret", "kept"}}});
+  CHECK(fixture.send_request("Credentials: Bearer secret\r\n").starts_with("HTTP/1.1 200"));
+  fixture.set_tenants({{{"a", std::nullopt, 0, 0}, {"kept"}}});
+  CHECK(fixture.send_request("Credentials: Bearer secret\r\n").starts_with("HTTP/1.1 401"));
+  CHECK(fixture.send_request("Credentials: Bearer kept\r\n").starts_with("HTTP/1.1 200"));
+  CHECK(fixture.server.requests.size() == 2);
+}
+
 }  // namespace damaskthread::mesh
--- a/test/platform/adapter_test.cc
+++ b/test/platform/adapter_test.cc
@@ -127,6 +127,36 @@
   CHECK((*table)->find_service("a")->max_connections == 532);
 }
 
+// Downloads were treated like requests that may run once, so that a lost response ended them.
+TEST_CASE("a download is idempotent") {
+  const auto table =
+      value_or_null(parse_configuration(replace_first(kConfiguration, "\"non_idempotent\"", "\"download\"")));
+  REQUIRE(table);
+  REQUIRE((*table)->find("h.example", "/y/1") != nullptr);
+  CHECK((*table)->find("h.example", "/y/1")->idempotent);
+}
+
+TEST_CASE("tenants are read with their keys, quota and priority, and routes may be public") {
+  const std::string tenants =
+      R"("tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,"rate_per_s":80,"burst":8},)"
+      R"({"name":"u","api_keys":["k3"]}],"virtual_hosts":)";
+  std::string document = replace_first(kConfiguration, "\"virtual_hosts\":", tenants);
+  document = replace_first(document, "\"max_attempts\":2", "\"max_attempts\":2,\"public\":true");
+  const auto table = value_or_null(parse_configuration(document));
+  REQUIRE(table);
+  const tenant::Tenant* const tenant = (*table)->tenants().find_by_key("k2");
+  REQUIRE(tenant != nullptr);
+  CHECK(tenant->name == "t");
+  CHECK(tenant->priority == 1);
+  CHECK(tenant->rate_per_second == 80);
+  CHECK(tenant->burst == 8);
+  REQUIRE((*table)->tenants().find_by_key("k3") != nullptr);
+  CHECK(!(*table)->tenants().find_by_key("k3")->has_quota());
+  CHECK((*table)->find("h.example", "/x/1")->is_public);
+  CHECK(!(*table)->find("h.example", "/y/1")->is_public);
+  CHECK(!value_or_null(parse_configuration(replace_first(document, "\"k3\"", "\"k1\""))));
+}
+
 TEST_CASE("only routes of the idempotent kind are idempotent") {
   for (const std::string kind : {"non_idempotent", "upload", "keyed", "a kind of a later version"}) {
     const auto table =
--- a/test/support/mesh_adapter.h
+++ b/test/support/mesh_adapter.h
@@ -49,8 +49,8 @@
   }
 
  private:
-  mesh::HeaderNames names_ = {"Attempt", "Time-Left",   "Seal",           "Target",   "Load",
-                              "Not-Run", "Retry-After", "Caller-Service", "Server-Id"};
+  mesh::HeaderNames names_ = {"Attempt",     "Time-Left",      "Seal",      "Target",      "Load",   "Not-Run",
+                              "Retry-After", "Caller-Service", "Server-Id", "Credentials", "Tenant", "Era"};
 };
 
 }  // namespace damaskthread::support
