Take no response with a status outside 100 to 599 for an answer

The parser of the mesh passed over 000 to 099 like interim responses, so that a second response counted as the server's, and callers got 600 to 999. The client of damaskthreadd passed on 600 to 999 as well. Such a response is malformed now, and its request may have run.

Tests: "a response whose status is no HTTP status is never passed on" failed for all five statuses and the case of the client for two before the change; both pass now.

--- a/src/damaskthread/http/client.cc
+++ b/src/damaskthread/http/client.cc
@@ -22,6 +22,8 @@
 using internal::SocketStream;
 
 constexpr std::uint32_t kMaxResponseHeaderBytes = 16U << 10U;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 // A TCP connection inside a region takes about 1 ms; a slower peer is treated as unreachable.
 constexpr core::Duration kConnectTimeout = std::chrono::seconds(1);
 
@@ -166,7 +168,9 @@
   if (error) return {to_failure(error, FailureKind::kConnectionLost)};
   // An interim response is not final, and a body delimited by connection close cannot be verified as complete.
   const bool has_verifiable_end = parser.is_done() || parser.chunked() || parser.content_length().has_value();
-  if (parser.get().result_int() < 200 || !has_verifiable_end) return {Failure{FailureKind::kIncomplete}};
+  const unsigned status = parser.get().result_int();
+  if (status < kFirstFinalStatus || status > kLastStatus || !has_verifiable_end)
+    return {Failure{FailureKind::kIncomplete}};
   if (!parser.is_done()) beast::http::read(stream, buffer, parser, error);
   if (error || !parser.is_done()) return {to_failure(error, FailureKind::kIncomplete)};
   const bool reusable = parser.keep_alive() && buffer.size() == 0;
--- a/src/damaskthread/mesh/http_codec.cc
+++ b/src/damaskthread/mesh/http_codec.cc
@@ -21,7 +21,9 @@
 constexpr std::size_t kMaxFramingBytes = std::size_t{64} << 10U;
 // Servers normally send at most one interim response, `100 Continue`.
 constexpr int kMaxInterimResponses = 8;
-constexpr int kFirstFinalStatus = 200;
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 
 template <typename Fields>
 http::Headers copy_headers(const Fields& fields) {
@@ -138,7 +140,10 @@
   for (;;) {
     const ReadState state = parse(*parser_, pending_);
     if (state == ReadState::kNeedMore && pending_.size() > kMaxFramingBytes) return ReadState::kMalformed;
-    if (state != ReadState::kDone || parser_->get().result_int() >= kFirstFinalStatus) return state;
+    const unsigned status = parser_->get().result_int();
+    // Beast accepts any three digits. Other numbers are no HTTP status, and nobody may take them for an answer.
+    if (parser_->is_header_done() && (status < kFirstStatus || status > kLastStatus)) return ReadState::kMalformed;
+    if (state != ReadState::kDone || status >= kFirstFinalStatus) return state;
     if (++interim_responses_ > kMaxInterimResponses) return ReadState::kMalformed;
     reset();  // An interim response; the final one follows.
     if (pending_.empty()) return ReadState::kNeedMore;
--- a/test/damaskthread/http/client_test.cc
+++ b/test/damaskthread/http/client_test.cc
@@ -54,6 +54,10 @@
       "HTTP/1.1 100 Continue\r\n\r\n",
   };
   for (const std::string& reply : incomplete) CHECK(kind_of(exchange(reply)) == FailureKind::kIncomplete);
+  // Numbers that are no status; callers got those above 599 as responses.
+  for (const std::string status : {"000", "099", "600", "999"}) {
+    CHECK(!std::holds_alternative<Response>(exchange("HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n")));
+  }
   const std::vector<std::string> broken = {"", "HTTP/1.1 200 OK\r\nContent-Le", "garbage\r\n\r\n",
                                            "HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\nhello",
                                            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 9\r\n\r\nhello"};
--- a/test/damaskthread/mesh/local_executor_test.cc
+++ b/test/damaskthread/mesh/local_executor_test.cc
@@ -266,6 +266,21 @@
   }
 }
 
+// A server in trouble sends numbers that are no status. Callers got those above 599 as responses, and those below 100
+// were passed over like interim responses, so that a later response counted.
+TEST_CASE("a response whose status is no HTTP status is never passed on") {
+  for (const std::string status : {"000", "001", "099", "600", "999"}) {
+    ExecutorFixture fixture;
+    fixture.server.script = [&](const http::Request&, ScriptedServer::Connection& connection) {
+      connection.write("HTTP/1.1 " + status + " X\r\nAttempt: attempt-1\r\nSeal: x\r\nContent-Length: 2\r\n\r\nno");
+      connection.write("HTTP/1.1 200 OK\r\nAttempt: attempt-1\r\nSeal: x\r\nContent-Length: 2\r\n\r\nok");
+    };
+    const peer::Result result = fixture.execute_and_wait(ExecutorFixture::request(1));
+    CHECK_MESSAGE(!result.answered, status);
+    CHECK_MESSAGE(result.verdict.execution == core::Execution::kMayHaveRun, status);
+  }
+}
+
 // A server that stops in the middle of its head: what has arrived must not pass for a response without a body.
 TEST_CASE("a response that ends within its head is never passed on") {
   const std::string framing = "HTTP/1.1 200 OK\r\nAttempt: attempt-1\r\nSeal: x\r\n";
