Recover what a restored store has lost

After a restore from a backup the store assigns offsets again. A daemon that waited at an offset above the restored end read on from there and never saw the configuration written below it; the entries that daemons had written since the backup, and with them the departures of their servers, were gone until their next restart. The store's era rises with each restore. A daemon that sees a higher one, in a response or from another daemon, reads the newest configuration and the member list again and writes its entry if it is missing or older. Versions still decide which configuration is in force, so that an older one from the backup replaces nothing.

Tests with real daemons, run with the former daemon: the entry was not written again, and the configuration was not in force within the bound at any of three daemons. Both pass now.

--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -158,6 +158,7 @@
       server_pool.set_server(endpoint, near, {status.service, status.ready, status.load}, now());
       for (const auto& [caller, callee] : status.calls) call_graph.record_call(caller, callee, false, now());
       on_peer_version(status.configuration_version);
+      store_client.observe_era(status.store_era);
     };
     hooks.pulse = [this](const std::string& endpoint, const peer::LoadUpdate& load_update) {
       server_pool.update_load(endpoint, load_update.load, now());
@@ -213,6 +214,7 @@
     hooks.on_members = [this](const std::vector<KeyedRecord>& records) { on_members(records); };
     hooks.is_small_fleet = [this] { return fleet.size() < kSmallFleetSize; };
     hooks.has_configuration = [this] { return ingress.table() != nullptr; };
+    hooks.on_restored = [this] { broadcast_state(now()); };
     return hooks;
   }
 
@@ -236,6 +238,8 @@
                  {{"server", listed_departure->id}, {"started_ms", listed_departure->started_at_ms}});
         gate.remember_leave(*entry->departed_server);
       }
+      // The store may have lost the latest departure when it was restored from a backup.
+      self_listed = self_listed && entry->departed_server == listed_departure;
     }
     if (self_listed) {
       fleet.mark_introduced();
@@ -341,6 +345,7 @@
     status.calls = call_graph.local_edges(time);
     status.ready = gate.accepts_requests(time);
     status.watching = store_client.watching();
+    status.store_era = store_client.era();
     status.load = gate.load(time);
     return status;
   }
--- a/src/damaskthread/mesh/store_client.cc
+++ b/src/damaskthread/mesh/store_client.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
+#include <charconv>
 #include <optional>
 #include <random>
 #include <utility>
@@ -31,6 +32,8 @@
 constexpr core::Duration kMembersReadInterval = std::chrono::minutes{4};
 // Time in which daemons that start simultaneously discover each other.
 constexpr core::Duration kMemberDiscoveryDelay = milliseconds{100};
+// Daemons that notice a restored store at the same moment read the member list spread over this time.
+constexpr core::Duration kMaxRereadDelay = milliseconds{1000};
 constexpr int kOk = 200;
 
 template <typename Value>
@@ -110,7 +113,8 @@
       hooks_(std::move(hooks)),
       watch_(io, store),
       members_(io, store),
-      writes_(io, store) {}
+      writes_(io, store),
+      random_(std::random_device{}()) {}
 
 void StoreClient::start() {
   read_configuration();
@@ -144,6 +148,34 @@
   log_.line(LogClass::kStateChange, "store", {{"reachable", reachable}, {"status", status}});
 }
 
+bool StoreClient::observe_era(const http::Response& response) {
+  const std::string_view text = http::find(response.headers, adapter_.headers().store_era);
+  std::uint64_t era = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), era);
+  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) return false;
+  const std::uint64_t previous = era_;
+  observe_era(era);
+  return previous != 0 && era > previous;
+}
+
+void StoreClient::observe_era(std::uint64_t era) {
+  if (era <= era_) return;
+  const std::uint64_t previous = std::exchange(era_, era);
+  if (previous == 0) return;
+  log_.line(LogClass::kStateChange, "store_restored",
+            {{"era", static_cast<std::int64_t>(era)}, {"previous", static_cast<std::int64_t>(previous)}});
+  reread_members();
+  hooks_.on_restored();
+}
+
+void StoreClient::reread_members() {
+  members_outdated_ = true;
+  if (reading_members_) return;
+  const auto delay =
+      core::Duration(std::uniform_int_distribution<core::Duration::rep>(0, kMaxRereadDelay.count())(random_));
+  members_.schedule(delay, [this] { read_members("", {}); });
+}
+
 void StoreClient::deliver_configuration(const std::vector<KeyedRecord>& records) {
   const auto newest = std::find_if(records.rbegin(), records.rend(),
                                    [](const KeyedRecord& record) { return record.key == kConfigurationKey; });
@@ -154,6 +186,7 @@
   watch_idle_ = false;
   watch_.call(adapter_.newest(Topic::kConfiguration, ""), kCallTimeout, [this](const http::Response& response) {
     log_reachability(response.status != 0, response.status);
+    observe_era(response);
     const auto page = response.status == kOk
                           ? value_or_log_error(adapter_.parse_newest(response), log_, "newest configuration")
                           : std::nullopt;
@@ -174,6 +207,9 @@
   watch_.call(adapter_.changes(Topic::kConfiguration, next_offset_, kWatchWait), kWatchWait + kWatchTimeoutMargin,
               [this](const http::Response& response) {
                 log_reachability(response.status != 0, response.status);
+                // Offsets are assigned again after a restore, so that the records from the former offset on may lack
+                // some.
+                if (observe_era(response)) return read_configuration();
                 const auto changes =
                     value_or_log_error(adapter_.parse_changes(response, next_offset_), log_, "configuration");
                 // Truncated changes are recovered by reading the newest records.
@@ -188,9 +224,13 @@
 
 void StoreClient::read_members(const std::string& after, std::vector<KeyedRecord> collected) {
   reading_members_ = true;
+  members_outdated_ = false;
   members_.call(adapter_.newest(Topic::kMembers, after), kCallTimeout,
                 [this, collected = std::move(collected)](const http::Response& response) mutable {
+                  observe_era(response);
                   reading_members_ = false;
+                  // Pages from before and after a restore do not form one list.
+                  if (members_outdated_) return reread_members();
                   const auto page = response.status == kOk
                                         ? value_or_log_error(adapter_.parse_newest(response), log_, "members")
                                         : std::nullopt;
@@ -225,6 +265,7 @@
   // Setting a key is idempotent, so a lost write can be retried.
   writes_.call(adapter_.put(Topic::kMembers, member_key_, member_value_), kCallTimeout,
                [this](const http::Response& response) {
+                 observe_era(response);
                  if (response.status != kOk) {
                    writes_.retry_after_backoff(kMaxMembersBackoff, [this] { write_member_entry(); });
                    return;
--- a/src/damaskthread/mesh/store_client.h
+++ b/src/damaskthread/mesh/store_client.h
@@ -61,6 +61,8 @@
     std::function<bool()> is_small_fleet;
     /// Whether a configuration is in effect.
     std::function<bool()> has_configuration;
+    /// Called when the store was restored from a backup.
+    std::function<void()> on_restored;
   };
 
   StoreClient(boost::asio::io_context& io, const Adapter& adapter, const http::Endpoint& store, EventLog& log,
@@ -78,9 +80,18 @@
   void refresh_configuration();
   /// @brief Writes an entry of the member list; a later call supersedes one still in progress.
   void put_member(const std::string& key, const std::string& value);
+  /// @brief Takes notice of the era of the store that another daemon has seen. Only some daemons call the store often.
+  void observe_era(std::uint64_t era);
+  /// @return Era of the store; it rises each time that the store is restored from a backup. Zero if unknown.
+  [[nodiscard]] std::uint64_t era() const noexcept { return era_; }
   void close();
 
  private:
+  /// Notes the era in a response.
+  /// @return Whether the store was restored since the previous response.
+  bool observe_era(const http::Response& response);
+  /// Reads the member list soon, to find out whether the own entry was lost.
+  void reread_members();
   void read_configuration();
   void watch_configuration();
   void deliver_configuration(const std::vector<KeyedRecord>& records);
@@ -104,6 +115,10 @@
   /// Whether the last watch call got a valid response.
   bool last_watch_succeeded_ = false;
   bool reading_members_ = false;
+  /// The member list has to be read again after the read in progress.
+  bool members_outdated_ = false;
+  std::uint64_t era_ = 0;
+  core::Random random_;
   bool write_in_progress_ = false;
   bool write_pending_ = false;
   bool reachable_ = true;
--- a/src/damaskthread/peer/frame.cc
+++ b/src/damaskthread/peer/frame.cc
@@ -103,8 +103,10 @@
   Json operator()(const Status& status) const {
     Json calls = Json::array();
     for (const auto& [caller, callee] : status.calls) calls.push_back(Json::array({caller, callee}));
-    return Json::array({5, status.configuration_version, status.service, status.server_id, status.ready,
-                        encode(status.load), std::move(calls), status.watching});
+    Json fields = Json::array({5, status.configuration_version, status.service, status.server_id, status.ready,
+                               encode(status.load), std::move(calls), status.watching});
+    if (status.store_era != 0) fields.push_back(status.store_era);
+    return fields;
   }
   Json operator()(const Configuration& configuration) const { return Json::array({6, configuration.version}); }
   Json operator()(const CrashNotice& crash) const { return Json::array({7, crash.report.crash, crash.report.running}); }
@@ -201,6 +203,8 @@
     status.calls.emplace_back(call.at(0).get<std::string>(), call.at(1).get<std::string>());
   }
   status.watching = fields.at(7).get<bool>();
+  // Absent in frames of daemons of the previous version and on platforms without eras.
+  if (fields.size() > 8) status.store_era = fields.at(8).get<std::uint64_t>();
   return status;
 }
 
--- a/src/damaskthread/peer/message.h
+++ b/src/damaskthread/peer/message.h
@@ -102,6 +102,8 @@
   bool ready = false;
   /// The daemon watches the store for a new configuration, and the store answers.
   bool watching = false;
+  /// Era of the store as last seen; zero if unknown.
+  std::uint64_t store_era = 0;
   gate::Load load;
   /// Pairs of a request kind and a kind of call that its runs were observed to make at the local server.
   std::vector<std::pair<std::string, std::string>> calls;
@@ -109,7 +111,8 @@
   /// @return Whether all fields except the load are equal.
   [[nodiscard]] bool equal_except_load(const Status& other) const {
     return configuration_version == other.configuration_version && service == other.service &&
-           server_id == other.server_id && ready == other.ready && watching == other.watching && calls == other.calls;
+           server_id == other.server_id && ready == other.ready && watching == other.watching &&
+           store_era == other.store_era && calls == other.calls;
   }
 };
 
--- a/test/meshfleet/fleet_test.cc
+++ b/test/meshfleet/fleet_test.cc
@@ -237,6 +237,42 @@
   fixture.check_in_force_everywhere();
 }
 
+// The entries that daemons wrote since the backup were gone for good, and with them the departures of their servers.
+TEST_CASE("daemons write their entries again after the store was restored from a backup") {
+  ProcessFleetFixture fixture({{"lookup", true, 3, "", false}}, "store-restored");
+  Vm& leaving = fixture.fleet.vm("lookup-2");
+  const std::string key = "127.0.0.1:" + std::to_string(leaving.peer_proxy_port);
+  const auto entry = [&] {
+    std::string value;
+    fixture.fleet.on_loop([&] { value = fixture.fleet.store().member(key); });
+    return value;
+  };
+  REQUIRE(fixture.within(kTestTimeout, [&] { return !entry().empty(); }));
+  fixture.fleet.on_loop([&] { fixture.fleet.store().back_up(); });
+  const std::string before = entry();
+  fixture.leave(leaving);
+  REQUIRE(fixture.within(kTestTimeout, [&] { return entry() != before; }));
+  const std::string after = entry();
+  fixture.fleet.on_loop([&] { fixture.fleet.store().restore(); });
+  CHECK(fixture.within(kTestTimeout, [&] { return entry() == after; }));
+}
+
+// The records from the former offset on lack what was written below it after the restore.
+TEST_CASE("a configuration written after a restore of the store is in force although its offset was assigned before") {
+  ProcessFleetFixture fixture({{"lookup", true, 3, "", false}}, "store-offsets");
+  fixture.fleet.on_loop([&] { fixture.fleet.store().back_up(); });
+  for (int i = 0; i < 3; ++i) fixture.check_in_force_everywhere();
+  fixture.fleet.on_loop([&] { fixture.fleet.store().restore(); });
+  // The new version lies below the offset that the daemons wait for; the records after it reach that offset.
+  fixture.fleet.publish();
+  fixture.fleet.on_loop([&] {
+    for (int i = 0; i < 3; ++i) fixture.fleet.store().write_as_operator("other", "x");
+  });
+  for (const auto& vm : fixture.fleet.vms()) {
+    CHECK_MESSAGE(fixture.served_within(kMaxPropagationTime, *vm, fixture.fleet.newest_host(vm->service)), vm->name);
+  }
+}
+
 TEST_CASE("without faults only a few daemons poll the store") {
   ProcessFleetFixture fixture({{"lookup", true, 8, ""}}, "store-calls");
   // Waits for the end of polls that began before the daemons knew each other.
--- a/test/meshfleet/store.cc
+++ b/test/meshfleet/store.cc
@@ -55,7 +55,7 @@
 void Store::handle(const std::shared_ptr<mesh::CallerRequest>& request) {
   ++calls_;
   const std::string& target = request->request.target;
-  if (fault_ == Fault::kRefuse) return request->answer({503, {}, ""});
+  if (fault_ == Fault::kRefuse) return answer(request, {503, {}, ""});
   if (fault_ == Fault::kSilent) {
     unanswered_.push_back(request);
     return;
@@ -66,16 +66,16 @@
     if (fault_ == Fault::kLoseAnswers) {
       unanswered_.push_back(request);
     } else {
-      request->answer({200, {}, "{}"});
+      answer(request, {200, {}, "{}"});
     }
   } else if (target.starts_with("/log-newest")) {
-    request->answer(newest(topic));
+    answer(request, newest(topic));
   } else if (target.starts_with("/log-read")) {
     const milliseconds wait(parse_number(query_value(target, "wait_ms")));
     pending_reads_.push_back({request, topic, parse_number(query_value(target, "from")), Clock::now() + wait});
     answer_pending_reads();
   } else {
-    request->answer({404, {}, ""});
+    answer(request, {404, {}, ""});
   }
 }
 
@@ -103,6 +103,26 @@
   for (auto& [name, topic] : topics_) topic.first = topic.records.size();
 }
 
+void Store::restore() {
+  topics_ = backup_;
+  ++era_;
+}
+
+std::string Store::member(const std::string& key) const {
+  std::string value;
+  const auto topic = topics_.find("keyed.members");
+  if (topic == topics_.end()) return value;
+  for (const Record& record : topic->second.records) {
+    if (record.key == key) value = record.value;
+  }
+  return value;
+}
+
+void Store::answer(const std::shared_ptr<mesh::CallerRequest>& request, http::Response response) const {
+  response.headers.push_back({"Store-Era", std::to_string(era_)});
+  request->answer(response);
+}
+
 http::Response Store::newest(const std::string& topic) {
   const Topic& records = topics_[topic];
   std::map<std::string, std::string> values;
@@ -114,7 +134,7 @@
 
 http::Response Store::changes(const std::string& topic, std::uint64_t from) {
   const Topic& records = topics_[topic];
-  if (from < records.first) return {410, {}, Json{{"first", records.first}}.dump()};
+  if (from < records.first || from > records.records.size()) return {410, {}, Json{{"first", records.first}}.dump()};
   std::string body = big_endian(records.records.size(), 8) + big_endian(records.first, 8);
   for (std::size_t i = from; i < records.records.size(); ++i) {
     const Record& record = records.records[i];
@@ -134,7 +154,7 @@
     ready.push_back(pending);
     return true;
   });
-  for (const PendingRead& pending : ready) pending.request->answer(changes(pending.topic, pending.from));
+  for (const PendingRead& pending : ready) answer(pending.request, changes(pending.topic, pending.from));
   if (fault_ == Fault::kNone) unanswered_.clear();
 }
 
--- a/test/meshfleet/store.h
+++ b/test/meshfleet/store.h
@@ -28,6 +28,12 @@
   void set_fault(Fault fault) { fault_ = fault; }
   /// @brief Drops the history of all topics; reads from before it are answered with 410, the newest values remain.
   void forget_history();
+  /// @brief Goes back to the records of the last `back_up`; its era rises by one.
+  void restore();
+  /// @brief Copies the records of all topics.
+  void back_up() { backup_ = topics_; }
+  /// @return Newest value of a key in the member list; empty if there is none.
+  [[nodiscard]] std::string member(const std::string& key) const;
   /// @return Number of calls received so far, answered or not.
   [[nodiscard]] int calls() const noexcept { return calls_; }
   /// @brief Writes a record as the operator does, regardless of the injected fault.
@@ -56,11 +62,14 @@
   [[nodiscard]] http::Response newest(const std::string& topic);
   [[nodiscard]] http::Response changes(const std::string& topic, std::uint64_t from);
   void answer_pending_reads();
+  void answer(const std::shared_ptr<mesh::CallerRequest>& request, http::Response response) const;
   void schedule_tick();
 
   mesh::HttpListener listener_;
   boost::asio::steady_timer timer_;
   std::map<std::string, Topic> topics_;
+  std::map<std::string, Topic> backup_;
+  int era_ = 1;
   std::vector<PendingRead> pending_reads_;
   std::vector<std::shared_ptr<mesh::CallerRequest>> unanswered_;
   Fault fault_ = Fault::kNone;
