Place requests by the work time of VMs and ramp up new servers

Servers may report how long work takes on their VM at this moment. Daemons pass it on with the load, at once if it changes by a quarter, and placement expects it to last about 600 ms; run times are compared as if VMs were undisturbed. A server that has just started tells a share of its slots to be used that grows by one request for each response in the usual time and shrinks when responses take three times as long or the server sheds. The share steers placement only and refuses nothing, so that a lone server or a service that starts as a whole gets what its slots can take. Servers that report no work time are served as before unless policy.pace.enabled is set.

--- a/src/damaskthread/gate/server_gate.cc
+++ b/src/damaskthread/gate/server_gate.cc
@@ -95,7 +95,9 @@
 }
 
 Load ServerGate::load(core::TimePoint now) const noexcept {
-  return {limit(), running_, static_cast<int>(queue_.size()), from_seconds(mean_run_seconds_), demand_.slots(now)};
+  Load load{limit(), running_, static_cast<int>(queue_.size()), from_seconds(mean_run_seconds_), demand_.slots(now)};
+  load.work_time = work_time_;
+  return load;
 }
 
 }  // namespace damaskthread::gate
--- a/src/damaskthread/gate/server_gate.h
+++ b/src/damaskthread/gate/server_gate.h
@@ -44,6 +44,10 @@
   core::Duration run_time{0};
   /// Offered load in slots; exceeds `limit` during an overload.
   double demand = 0;
+  /// How long work takes on the server's VM at this moment, relative to the usual time.
+  double work_time = 1;
+  /// Share of `limit` that should be used while the server ramps up; it steers placement and refuses nothing.
+  double pace = 1;
 };
 
 enum class Admission : std::uint8_t { kStart, kEnqueue, kRefuse };
@@ -77,6 +81,9 @@
   /// @brief Sets the number of requests that occupy the server but are no longer tracked by this gate.
   void set_untracked_requests(int requests) noexcept { untracked_requests_ = requests; }
 
+  /// @brief Sets how long work takes on the server's VM now, relative to the usual time.
+  void set_work_time(double work_time) noexcept { work_time_ = work_time; }
+
   /// @brief Admits, queues or refuses a new request. `kStart` occupies a slot.
   [[nodiscard]] Admission arrive(const Arrival& arrival, core::TimePoint now);
   /// @brief Assigns free slots to queued requests and refuses those whose maximum wait has expired.
@@ -120,6 +127,7 @@
 
   GateOptions options_;
   int capacity_ = 0;
+  double work_time_ = 1;
   int untracked_requests_ = 0;
   int running_ = 0;
   DemandMeter demand_;
--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <chrono>
+#include <cmath>
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -48,6 +49,9 @@
 constexpr milliseconds kTickInterval{25};
 constexpr core::Duration kSweepInterval = milliseconds{250};
 constexpr core::Duration kLoadUpdateInterval = milliseconds{400};
+// After this time a changed work time of the VM is sent without waiting for the next update.
+constexpr core::Duration kMinLoadUpdateInterval = milliseconds{100};
+constexpr double kWorkTimeChange = 0.25;
 // The full status is sent several times within the period after which peers expire the call graph edges in it.
 constexpr core::Duration kStatusInterval = seconds{15};
 constexpr core::Duration kLoadLogInterval = seconds{2};
@@ -369,6 +373,7 @@
   void broadcast_state(core::TimePoint time) {
     load_update_due = time + kLoadUpdateInterval;
     peer::Status current = own_status();
+    sent_work_time = current.load.work_time;
     if (current.equal_except_load(last_sent_status) && time < status_due) {
       peer_listener.broadcast(peer::LoadUpdate{current.configuration_version, current.load});
       return;
@@ -378,6 +383,13 @@
     last_sent_status = std::move(current);
   }
 
+  // A VM that slows down should get less before the next regular update.
+  [[nodiscard]] bool work_time_changed(core::TimePoint time) const {
+    const double change = std::abs(gate.load(time).work_time - sent_work_time);
+    return change > kWorkTimeChange * sent_work_time &&
+           time >= load_update_due - kLoadUpdateInterval + kMinLoadUpdateInterval;
+  }
+
   void update_own_pool_entry() {
     const auto& announcement = gate.life().last_heartbeat();
     const core::TimePoint time = now();
@@ -545,7 +557,7 @@
       if (admin_listener) admin_listener->sweep(time);
       crash_tally.tick(time);
     }
-    if (time >= load_update_due) broadcast_state(time);
+    if (time >= load_update_due || work_time_changed(time)) broadcast_state(time);
     if (time >= load_log_due) {
       load_log_due = time + kLoadLogInterval;
       log_load();
@@ -565,6 +577,8 @@
               {"running", load.running},
               {"queued", load.queued},
               {"demand", load.demand},
+              {"work_time", load.work_time},
+              {"pace", load.pace},
               {"run_ms", std::chrono::duration<double, std::milli>(load.run_time).count()},
               {"requests", static_cast<std::int64_t>(ingress.active())},
               {"pressure", ingress.describe_pressure()}});
@@ -602,6 +616,8 @@
   core::TimePoint stop_started_at;
   core::TimePoint sweep_due;
   core::TimePoint load_update_due;
+  /// Work time in the last load update.
+  double sent_work_time = 1;
   core::TimePoint status_due;
   /// Status in the last full broadcast.
   peer::Status last_sent_status;
--- a/src/damaskthread/mesh/local_executor.cc
+++ b/src/damaskthread/mesh/local_executor.cc
@@ -40,6 +40,8 @@
 // Total body size of the responses kept for senders that resume; responses beyond it are dropped.
 constexpr std::size_t kMaxRetainedBytes = std::size_t{16} << 20U;
 constexpr double kUntrackedSmoothing = 0.1;
+// A daemon that starts beside a server older than this does not ramp it up.
+constexpr core::Duration kRecentStart = seconds{5};
 constexpr int kFirstFailureStatus = 300;
 constexpr int kMisdirected = 421;
 
@@ -86,6 +88,7 @@
       life_(kHeartbeatsMissed * settings.heartbeat + kHeartbeatTolerance,
             {settings.service, settings::to_string(settings.local_server)}),
       gate_(settings.policy.gate),
+      ramp_up_(settings.policy.pace),
       budget_(repeat_options(settings), now()),
       connections_(io, adapter.headers().attempt_id, answer_memory(settings)),
       last_tick_(now()) {
@@ -220,14 +223,18 @@
   } else if (exchange.outcome == ExchangeOutcome::kConnectionLost) {
     record_lost_request(run->fingerprint, time);
   }
-  update_untracked_load(exchange.response);
+  update_server_load(exchange.response);
   const bool answered = exchange.outcome == ExchangeOutcome::kCompleted;
   peer::Result result = classify_exchange(*run, std::move(exchange), time);
   run->running = false;
   const bool rejected = result.verdict.execution == core::Execution::kNotRun && result.reached_server;
   if (rejected) {
     gate_.reject(run->execute.kind, time);
+    ramp_up_.on_rejection(time);
   } else {
+    if (result.answered && result.response.status < kFirstFailureStatus) {
+      ramp_up_.on_response(run->execute.kind, result.run_time, time);
+    }
     gate_.finish(run->execute.kind, answered && result.answered ? result.run_time : core::Duration::zero());
   }
   if (result.answered && result.response.status < kFirstFailureStatus) {
@@ -276,20 +283,23 @@
   return result;
 }
 
-void LocalExecutor::update_untracked_load(const http::Response& response) {
-  const std::string_view text = http::find(response.headers, adapter_.headers().server_load);
-  if (text.empty()) return;
-  std::array<int, 2> values{};
-  const char* position = text.data();
-  const char* const end = text.data() + text.size();
-  for (int& value : values) {
-    const auto parsed = std::from_chars(position, end, value);
-    if (parsed.ec != std::errc()) return;
-    position = parsed.ptr;
-    if (position != end) ++position;
+gate::Load LocalExecutor::load(core::TimePoint now) const noexcept {
+  gate::Load load = gate_.load(now);
+  if (ramps_up()) load.pace = ramp_up_.share(now);
+  return load;
+}
+
+bool LocalExecutor::ramps_up() const noexcept { return settings_.policy.pace.enabled || reports_work_time_; }
+
+void LocalExecutor::update_server_load(const http::Response& response) {
+  const auto reported = gate::parse_server_load(http::find(response.headers, adapter_.headers().server_load));
+  if (!reported) return;
+  if (reported->work_time) {
+    reports_work_time_ = true;
+    gate_.set_work_time(*reported->work_time);
   }
   // The reported load may lag, so an excess over the executor's own count is smoothed; a decrease applies at once.
-  const double untracked = std::max(0, values[0] + values[1] - gate_.running());
+  const double untracked = std::max(0, reported->running + reported->waiting - gate_.running());
   untracked_requests_ = untracked < untracked_requests_
                             ? untracked
                             : untracked_requests_ + kUntrackedSmoothing * (untracked - untracked_requests_);
@@ -324,7 +334,7 @@
   const auto running = running_attempts_.find(run->execute.attempt_id);
   if (running != running_attempts_.end() && running->second == run) running_attempts_.erase(running);
   result.stream = run->key.stream;
-  result.load = gate_.load(now());
+  result.load = load(now());
   if (!result.answered || result.response.status >= kFirstFailureStatus) {
     const core::TimePoint time = now();
     log_.line(LogClass::kFailedRequest, "run",
@@ -403,7 +413,7 @@
   peer::Result result = make_result(
       idempotent ? core::may_have_run(core::Cause::kConnection) : core::not_run(core::Cause::kConnection), idempotent);
   result.stream = key.stream;
-  result.load = gate_.load(now());
+  result.load = load(now());
   retained_results_[key] = {now() + kResultRetention, result};
   reply(result);
 }
@@ -434,7 +444,9 @@
     connections_.close_idle();
     untracked_requests_ = 0;
     gate_.set_untracked_requests(0);
+    gate_.set_work_time(1);
     report_crash(time);
+    if (is_recent_start(announcement)) start_ramp(announcement, time);
   }
   gate_.set_capacity(announcement.capacity);
   apply_server_state(time);
@@ -442,6 +454,19 @@
   return true;
 }
 
+bool LocalExecutor::is_recent_start(const gate::ServerHeartbeat& heartbeat) {
+  // The times of day of the server and the daemon are those of one VM.
+  const auto wall = std::chrono::system_clock::now().time_since_epoch();
+  const auto age = std::chrono::duration_cast<milliseconds>(wall) - milliseconds(heartbeat.started_at_ms);
+  return heartbeat.started_at_ms == 0 ? heartbeat.sequence <= 1 : age < kRecentStart;
+}
+
+void LocalExecutor::start_ramp(const gate::ServerHeartbeat& heartbeat, core::TimePoint now) {
+  ramp_up_.start(heartbeat.capacity, now);
+  if (!ramps_up()) return;
+  log_.line(LogClass::kStateChange, "ramp_up", {{"server", heartbeat.id}, {"slots", heartbeat.capacity}});
+}
+
 void LocalExecutor::on_deregistration(const std::string& server_id) {
   const core::TimePoint time = now();
   (void)life_.on_deregistration(server_id, time);
--- a/src/damaskthread/mesh/local_executor.h
+++ b/src/damaskthread/mesh/local_executor.h
@@ -18,10 +18,12 @@
 #include "damaskthread/core/types.h"
 #include "damaskthread/gate/server_gate.h"
 #include "damaskthread/gate/server_lifecycle.h"
+#include "damaskthread/gate/server_load.h"
 #include "damaskthread/mesh/adapter.h"
 #include "damaskthread/mesh/event_log.h"
 #include "damaskthread/mesh/server_connections.h"
 #include "damaskthread/mesh/settings.h"
+#include "damaskthread/pace/ramp_up.h"
 #include "damaskthread/peer/message.h"
 #include "damaskthread/quarantine/crash_counter.h"
 #include "damaskthread/retry/call_progress.h"
@@ -100,7 +102,7 @@
   [[nodiscard]] gate::ServerState server_state(core::TimePoint now) const { return life_.state(now); }
   [[nodiscard]] bool accepts_requests(core::TimePoint now) const;
   [[nodiscard]] const gate::ServerLifecycle& life() const noexcept { return life_; }
-  [[nodiscard]] gate::Load load(core::TimePoint now) const noexcept { return gate_.load(now); }
+  [[nodiscard]] gate::Load load(core::TimePoint now) const noexcept;
   [[nodiscard]] std::size_t active() const noexcept { return runs_.size(); }
 
  private:
@@ -138,7 +140,13 @@
   void send(const RunPointer& run, core::TimePoint now);
   void on_exchange(const RunPointer& run, ExchangeResult&& exchange);
   [[nodiscard]] peer::Result classify_exchange(const Run& run, ExchangeResult&& exchange, core::TimePoint now);
-  void update_untracked_load(const http::Response& response);
+  /// Takes over the load that the server reports in a response.
+  void update_server_load(const http::Response& response);
+  /// Whether a server started so recently that it is ramped up.
+  [[nodiscard]] static bool is_recent_start(const gate::ServerHeartbeat& heartbeat);
+  void start_ramp(const gate::ServerHeartbeat& heartbeat, core::TimePoint now);
+  /// Whether the settings or the server ask for ramps.
+  [[nodiscard]] bool ramps_up() const noexcept;
   void refuse(const RunPointer& run, core::Cause cause);
   void end(const RunPointer& run, peer::Result result);
   void retain_result(RunKey key, peer::Result result);
@@ -159,6 +167,9 @@
   Hooks hooks_;
   gate::ServerLifecycle life_;
   gate::ServerGate gate_;
+  pace::RampUp ramp_up_;
+  /// The server reports the work time of its VM.
+  bool reports_work_time_ = false;
   retry::RepeatBudget budget_;
   retry::CallProgress progress_;
   ServerConnections connections_;
--- a/src/damaskthread/mesh/policy.cc
+++ b/src/damaskthread/mesh/policy.cc
@@ -23,7 +23,8 @@
 template <typename Options>
 struct Option {
   const char* name;
-  std::variant<double Options::*, int Options::*, std::size_t Options::*, core::Duration Options::*> member;
+  std::variant<double Options::*, int Options::*, bool Options::*, std::size_t Options::*, core::Duration Options::*>
+      member;
   double min_value;
   double max_value;
 };
@@ -54,6 +55,16 @@
 constexpr Option<LinkPlanOptions> kLinkOptions[] = {
     {"full_mesh_limit", &LinkPlanOptions::full_mesh_limit, 0, kMaxCount}};
 
+using pace::RampUpOptions;
+constexpr Option<RampUpOptions> kPaceOptions[] = {
+    {"enabled", &RampUpOptions::enabled, 0, 1},
+    {"initial_share", &RampUpOptions::initial_share, 0.01, 1},
+    {"good_run_time", &RampUpOptions::good_run_time, 1, kMaxCost},
+    {"bad_run_time", &RampUpOptions::bad_run_time, 1, kMaxCost},
+    {"decrease", &RampUpOptions::decrease, 0.1, 1},
+    {"max_duration_ms", &RampUpOptions::max_duration, 0, kMaxMilliseconds},
+    {"smoothing", &RampUpOptions::smoothing, 0.001, 1}};
+
 using placement::ServerPoolOptions;
 constexpr Option<ServerPoolOptions> kPlacementOptions[] = {
     {"cross_zone_cost", &ServerPoolOptions::cross_zone_cost, 0, kMaxCost},
@@ -66,6 +77,7 @@
     {"max_run_time_ratio", &ServerPoolOptions::max_run_time_ratio, 1, kMaxCost},
     {"smoothing", &ServerPoolOptions::smoothing, 0.001, 1},
     {"refusal_backoff_ms", &ServerPoolOptions::refusal_backoff, 0, kMaxMilliseconds},
+    {"work_time_persistence_ms", &ServerPoolOptions::work_time_persistence, 1, kMaxMilliseconds},
     {"heartbeat_overdue_after_ms", &ServerPoolOptions::heartbeat_overdue_after, 0, kMaxMilliseconds}};
 
 using quarantine::CrashCounterOptions;
@@ -95,6 +107,7 @@
   function("entrance", policy.entrance, std::span(kEntranceOptions));
   function("gate", policy.gate, std::span(kGateOptions));
   function("links", policy.links, std::span(kLinkOptions));
+  function("pace", policy.pace, std::span(kPaceOptions));
   function("placement", policy.placement, std::span(kPlacementOptions));
   function("quarantine", policy.quarantine, std::span(kQuarantineOptions));
   function("repeats", policy.repeats, std::span(kRepeatOptions));
@@ -103,11 +116,13 @@
 
 double to_number(double value) { return value; }
 double to_number(int value) { return value; }
+double to_number(bool value) { return value ? 1 : 0; }
 double to_number(std::size_t value) { return static_cast<double>(value); }
 double to_number(core::Duration value) { return Milliseconds(value).count(); }
 
 void assign(double& target, double value) { target = value; }
 void assign(int& target, double value) { target = static_cast<int>(value); }
+void assign(bool& target, double value) { target = value != 0; }
 void assign(std::size_t& target, double value) { target = static_cast<std::size_t>(value); }
 void assign(core::Duration& target, double value) {
   target = std::chrono::duration_cast<core::Duration>(Milliseconds(value));
@@ -129,6 +144,7 @@
     return;
   }
   const bool counts = std::holds_alternative<int Options::*>(option.member) ||
+                      std::holds_alternative<bool Options::*>(option.member) ||
                       std::holds_alternative<std::size_t Options::*>(option.member);
   if (counts && std::trunc(value->get<double>()) != value->get<double>()) {
     reader.error(option.name, "expected a whole number");
--- a/src/damaskthread/mesh/policy.h
+++ b/src/damaskthread/mesh/policy.h
@@ -12,6 +12,7 @@
 #include "damaskthread/gate/server_gate.h"
 #include "damaskthread/mesh/request_options.h"
 #include "damaskthread/overlay/link_plan.h"
+#include "damaskthread/pace/ramp_up.h"
 #include "damaskthread/placement/server_pool.h"
 #include "damaskthread/quarantine/crash_counter.h"
 #include "damaskthread/retry/repeat_budget.h"
@@ -25,6 +26,7 @@
   entrance::ThrottleOptions entrance;
   gate::GateOptions gate;
   overlay::LinkPlanOptions links;
+  pace::RampUpOptions pace;
   placement::ServerPoolOptions placement;
   quarantine::CrashCounterOptions quarantine;
   retry::RepeatBudgetOptions repeats;
--- a/src/damaskthread/peer/frame.cc
+++ b/src/damaskthread/peer/frame.cc
@@ -22,6 +22,7 @@
 // Position of a field that only daemons of the previous version read.
 constexpr bool kUnusedField = false;
 constexpr double kDemandScale = 10;
+constexpr double kPercent = 100;
 // Reserved rates are encoded in hundredths of a request per second.
 constexpr double kReservedScale = 100;
 constexpr std::size_t kLengthBytes = 4;
@@ -64,13 +65,24 @@
 
 Json encode(const gate::Load& load) {
   // Demand is encoded in tenths of a slot, which is precise enough and compact.
-  return Json::array({load.limit, load.running, load.queued, to_us(load.run_time),
-                      static_cast<std::int64_t>(std::lround(kDemandScale * load.demand))});
+  Json fields = Json::array({load.limit, load.running, load.queued, to_us(load.run_time),
+                             static_cast<std::int64_t>(std::lround(kDemandScale * load.demand))});
+  // Left out for the usual values, which keeps the frequent messages small.
+  if (load.work_time != 1 || load.pace != 1) {
+    fields.push_back(std::lround(kPercent * load.work_time));
+    fields.push_back(std::lround(kPercent * load.pace));
+  }
+  return fields;
 }
 
 gate::Load decode_load(const Json& value) {
-  return {value.at(0).get<int>(), value.at(1).get<int>(), value.at(2).get<int>(), from_us(value.at(3)),
-          value.at(4).get<double>() / kDemandScale};
+  gate::Load load{value.at(0).get<int>(), value.at(1).get<int>(), value.at(2).get<int>(), from_us(value.at(3)),
+                  value.at(4).get<double>() / kDemandScale};
+  if (value.size() > 6) {
+    load.work_time = std::max(1.0, value.at(5).get<double>()) / kPercent;
+    load.pace = std::clamp(value.at(6).get<double>() / kPercent, 1 / kPercent, 1.0);
+  }
+  return load;
 }
 
 Json encode(const Member& member) { return Json::array({member.endpoint, member.zone, member.service}); }
--- a/src/damaskthread/placement/server_pool.cc
+++ b/src/damaskthread/placement/server_pool.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <limits>
 #include <random>
 
@@ -11,8 +12,11 @@
 // Spread of the random cost factor that keeps daemons from choosing equal servers in the same order.
 constexpr double kJitter = 0.08;
 
+// Weight of a report in the mean work time of a VM; with several reports a second, the mean covers some ten seconds.
+constexpr double kWorkTimeSmoothing = 0.02;
+
 double utilization(const gate::Load& load, int unreported) {
-  return static_cast<double>(load.running + load.queued + unreported) / std::max(1, load.limit);
+  return static_cast<double>(load.running + load.queued + unreported) / std::max(1.0, load.pace * load.limit);
 }
 
 bool contains(std::span<const std::string> endpoints, const std::string& endpoint) {
@@ -43,8 +47,24 @@
   }
   server.same_zone = same_zone;
   server.report = report;
+  set_load(server, report.load, now);
+}
+
+void ServerPool::set_load(Server& server, const gate::Load& load, core::TimePoint now) {
+  server.report.load = load;
   server.sent_since_report = 0;
   server.last_load_at = now;
+  server.mean_work_time += kWorkTimeSmoothing * (load.work_time - server.mean_work_time);
+}
+
+double ServerPool::expected_work_time(const Server& server, double mean_run_seconds, core::TimePoint now) const {
+  const double reported = server.report.load.work_time;
+  if (!server.last_load_at || reported == server.mean_work_time) return reported;
+  // The middle of the run is as far away as the report is old plus half of the run time.
+  const double horizon =
+      std::chrono::duration<double>(now - *server.last_load_at).count() + mean_run_seconds * reported / 2;
+  const double persistence = std::chrono::duration<double>(options_.work_time_persistence).count();
+  return server.mean_work_time + (reported - server.mean_work_time) * std::exp(-std::max(0.0, horizon) / persistence);
 }
 
 void ServerPool::set_reachable(const std::string& endpoint, bool reachable) {
@@ -55,7 +75,9 @@
   std::erase_if(servers_, [&endpoint](const Server& server) { return server.endpoint == endpoint; });
 }
 
-double ServerPool::cost(const Server& server, const PlacementRequest& request, double mean_run_seconds) const {
+double ServerPool::cost(const Server& server, const PlacementRequest& request, double mean_run_seconds,
+                        core::TimePoint now) const {
+  const double relative_run_time = server.relative_run_time * expected_work_time(server, mean_run_seconds, now);
   const double load = utilization(server.report.load, server.sent_since_report);
   double congestion_cost = 0;
   if (load >= 1) {
@@ -67,16 +89,15 @@
   const double objective = std::chrono::duration<double>(request.objective).count();
   double run_time_weight = 1;
   if (objective > 0 && mean_run_seconds > 0) {
-    const double expected_share = server.relative_run_time * mean_run_seconds / objective;
+    const double expected_share = relative_run_time * mean_run_seconds / objective;
     run_time_weight = std::clamp(options_.run_time_weight * expected_share, options_.min_run_time_weight, 1.0);
   }
-  double total =
-      server.relative_run_time * (run_time_weight + congestion_cost) + options_.failure_cost * server.failure_share;
+  double total = relative_run_time * (run_time_weight + congestion_cost) + options_.failure_cost * server.failure_share;
   if (!server.same_zone) total += options_.cross_zone_cost;
   if (objective > 0 && mean_run_seconds > 0) {
     // Run times spread to about twice their mean; a server that would exceed the objective at that run time is charged
     // the excess.
-    const double excess = 2 * server.relative_run_time * (1 + congestion_cost) * mean_run_seconds - objective;
+    const double excess = 2 * relative_run_time * (1 + congestion_cost) * mean_run_seconds - objective;
     if (excess > 0) total += excess / mean_run_seconds;
   }
   return total;
@@ -93,7 +114,7 @@
     if (server.report.service != request.service || !server.reachable || !server.report.ready) continue;
     if (contains(request.tried, server.endpoint)) continue;
     if (!request.allowed.empty() && !contains(request.allowed, server.endpoint)) continue;
-    double candidate = cost(server, request, mean_run_seconds) * jitter(random);
+    double candidate = cost(server, request, mean_run_seconds, now) * jitter(random);
     const bool overdue = server.last_load_at && now - *server.last_load_at > options_.heartbeat_overdue_after;
     if (server.avoided_until > now || overdue) candidate += options_.saturation_cost + options_.queue_cost;
     if (candidate >= best_cost) continue;
@@ -109,8 +130,7 @@
   if (server == nullptr) return;
   server->last_load_at = now;
   if (load.limit <= 0) return;
-  server->report.load = load;
-  server->sent_since_report = 0;
+  set_load(*server, load, now);
 }
 
 void ServerPool::on_sent(const std::string& endpoint) {
@@ -121,7 +141,9 @@
   Server* server = find(endpoint);
   if (server == nullptr) return;
   server->failure_share += options_.smoothing * ((failed ? 1.0 : 0.0) - server->failure_share);
-  const double seconds = std::chrono::duration<double>(run_time).count();
+  // The work time at the end of the run is known; that at its start is taken to be usual.
+  const double work_time = (server->report.load.work_time + server->mean_work_time) / 2;
+  const double seconds = std::chrono::duration<double>(run_time).count() / work_time;
   if (failed || seconds <= 0) return;
   double& mean = mean_run_seconds_by_kind_[std::string(kind)];
   mean = mean == 0 ? seconds : mean + 0.2 * options_.smoothing * (seconds - mean);
--- a/src/damaskthread/placement/server_pool.h
+++ b/src/damaskthread/placement/server_pool.h
@@ -59,6 +59,8 @@
   /// are not compared by their run times.
   double max_run_time_ratio = 8;
   double smoothing = 0.1;
+  /// How long the reported work time of a VM is expected to last; later it counts as its mean.
+  core::Duration work_time_persistence = std::chrono::milliseconds{600};
   /// Time for which a server is avoided after a refusal.
   core::Duration refusal_backoff = std::chrono::milliseconds{30};
   /// Time after which the next heartbeat of a daemon is overdue: one and a half heartbeat intervals.
@@ -72,7 +74,9 @@
 /// server that passes its health checks (its run times and failures raise its cost), one failure domain busier than the
 /// others (requests spill over when the local failure domain is congested), suspended machines (requests sent to them
 /// before they are suspected would be lost, since no response could confirm that they did not run), many daemons that
-/// choose at the same time from stale reports (requests sent since the report are counted).
+/// choose at the same time from stale reports (requests sent since the report are counted), VMs that are slowed by
+/// their neighbours for fractions of a second (the reported work time counts as long as it is likely to last), servers
+/// that ramp up (they get the share of their slots that they report).
 class ServerPool {
  public:
   explicit ServerPool(const ServerPoolOptions& options = {}) : options_(options) {}
@@ -119,6 +123,8 @@
     /// Run time relative to the mean of its kind over all servers. New servers start slightly below the mean, so that
     /// they are tried.
     double relative_run_time = 0.9;
+    /// Moving average of the reported work time of the server's VM. `relative_run_time` refers to a work time of 1.
+    double mean_work_time = 1;
     /// Moving average of the share of failed requests.
     double failure_share = 0;
     core::TimePoint avoided_until;
@@ -128,7 +134,12 @@
 
   [[nodiscard]] Server* find(const std::string& endpoint);
   [[nodiscard]] Server& find_or_add(const std::string& endpoint);
-  [[nodiscard]] double cost(const Server& server, const PlacementRequest& request, double mean_run_seconds) const;
+  /// Takes over a load that is newer than the last one.
+  void set_load(Server& server, const gate::Load& load, core::TimePoint now);
+  /// Work time that a request of this run time is expected to meet if it is placed now.
+  [[nodiscard]] double expected_work_time(const Server& server, double mean_run_seconds, core::TimePoint now) const;
+  [[nodiscard]] double cost(const Server& server, const PlacementRequest& request, double mean_run_seconds,
+                            core::TimePoint now) const;
 
   ServerPoolOptions options_;
   std::vector<Server> servers_;
