--- a/test/meshfleet/fleet.cc
+++ b/test/meshfleet/fleet.cc
@@ -17,11 +17,11 @@
 
 std::string local(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
 
-Json host_entry(const std::string& host, const ServiceSpec& service) {
+Json host_entry(const std::string& host, const ServiceSpec& service, std::chrono::milliseconds timeout) {
   const Json path = {{"name", host},
                      {"path_prefix", "/"},
                      {"kind", service.idempotent ? "idempotent" : "non_idempotent"},
-                     {"timeout", "1500ms"},
+                     {"timeout", std::to_string(timeout.count()) + "ms"},
                      {"slo", "800ms"},
                      {"priority", service.idempotent ? 2 : 0},
                      {"service", service.name},
@@ -31,8 +31,8 @@
 
 }  // namespace
 
-Fleet::Fleet(std::vector<ServiceSpec> services, std::string logs)
-    : services_(std::move(services)), logs_(std::move(logs)) {
+Fleet::Fleet(std::vector<ServiceSpec> services, std::string logs, const FleetLimits& limits)
+    : services_(std::move(services)), logs_(std::move(logs)), limits_(limits) {
   std::filesystem::create_directories(logs_);
   const std::uint16_t store_port = reserve_port();
   store_ = std::make_unique<Store>(io_, store_port);
@@ -73,6 +73,8 @@
                          {"local_server", local(vm->ports.local_server())},
                          {"store", local(vm->store_proxy_port)},
                          {"heartbeat", "300ms"},
+                         {"memory_mb", limits_.memory_mb},
+                         {"max_descriptors", limits_.max_descriptors},
                          {"promises", {{"grace", "6s"}, {"repeat_slack", 50}}}};
   std::ofstream(vm->settings_path) << settings.dump(2);
   const std::string callee = service.callee.empty() ? "" : service.callee + ".example";
@@ -117,10 +119,11 @@
   Json hosts = Json::array();
   for (const ServiceSpec& service : services_) {
     services.push_back({{"name", service.name}, {"health_path", "/health"}, {"max_conns", 500}});
-    hosts.push_back(host_entry(service.name + ".example", service));
-    hosts.push_back(host_entry(newest_host(service.name), service));
+    hosts.push_back(host_entry(service.name + ".example", service, limits_.timeout));
+    hosts.push_back(host_entry(newest_host(service.name), service, limits_.timeout));
   }
-  const Json limits = {{"header_bytes", 16384}, {"body_bytes", 1000000}, {"header", "3000ms"}, {"idle", "15000ms"}};
+  const Json limits = {
+      {"header_bytes", 16384}, {"body_bytes", limits_.body_bytes}, {"header", "3000ms"}, {"idle", "15000ms"}};
   return Json{{"version", version_.load()}, {"services", services}, {"limits", limits}, {"virtual_hosts", hosts}}
       .dump();
 }
--- a/test/meshfleet/fleet.h
+++ b/test/meshfleet/fleet.h
@@ -9,6 +9,8 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <future>
 #include <memory>
@@ -53,11 +55,20 @@
   std::string settings_path;
 };
 
+/// Limits in the settings of all daemons and in the configuration.
+struct FleetLimits {
+  std::uint32_t memory_mb = 160;
+  std::uint32_t max_descriptors = 4096;
+  std::size_t body_bytes = 1000000;
+  /// Timeout of all routes.
+  std::chrono::milliseconds timeout{1500};
+};
+
 /// @brief Runs the VMs of several services and a store, whose configuration routes to all of them.
 class Fleet {
  public:
   /// @param logs Folder for the settings and logs of the daemons.
-  Fleet(std::vector<ServiceSpec> services, std::string logs);
+  Fleet(std::vector<ServiceSpec> services, std::string logs, const FleetLimits& limits = {});
   /// Kills the daemons.
   ~Fleet();
   Fleet(const Fleet&) = delete;
@@ -120,6 +131,7 @@
 
   std::vector<ServiceSpec> services_;
   std::string logs_;
+  FleetLimits limits_;
   boost::asio::io_context io_;
   std::vector<ReservedPort> ports_;
   ExecutionLog execution_log_;
