Bound the memory of all requests that callers send

Callers ended a daemon by trailers without end, by many large bodies and by bodies that stop just short of their end: only the size of one body was bounded, and each body was held about five times (parsed request, copy for the peer, frame, write buffer, growth of each). One upload of 60 MB took a daemon over 260 MB. Now one limit, caller_memory_share of memory_mb, covers what is read and the accepted bodies. Above it the largest incomplete request is answered 503, which is true since nothing of it has run. Framing behind the header is bounded by the header limit. A body exists once in a process. A daemon that gets more connections than it may hold closes the quietest. A TRACE request with a body, at which the serializer threw, no longer ends a daemon.

--- a/app/damaskthread_mesh/main.cc
+++ b/app/damaskthread_mesh/main.cc
@@ -6,6 +6,7 @@
 #include <log4cplus/configurator.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/logger.h>
+#include <malloc.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -62,9 +63,14 @@
   return environment_path == nullptr ? "" : environment_path;
 }
 
+// Blocks of this size and above are returned to the operating system when they are freed. By default glibc raises the
+// threshold to the largest block freed so far, and the memory of large bodies would stay in the process.
+constexpr int kMmapThresholdBytes = 128 << 10;
+
 }  // namespace
 
 int main(int argc, char** argv) {
+  ::mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
   absl::SetProgramUsageMessage(
       "overload control daemon for one backend server of the platform\n\n"
       "  damaskthread_mesh --settings FILE          serve until SIGTERM, then drain and stop\n"
--- a/src/damaskthread/http/message.h
+++ b/src/damaskthread/http/message.h
@@ -6,6 +6,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,6 +28,14 @@
   std::string body;
 };
 
+/// Body that several holders share without copying it; null if empty.
+using SharedBody = std::shared_ptr<const std::string>;
+
+/// @return The bytes of a shared body.
+[[nodiscard]] inline std::string_view view(const SharedBody& body) noexcept {
+  return body == nullptr ? std::string_view() : std::string_view(*body);
+}
+
 struct Response {
   int status = 200;
   Headers headers;
--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -71,6 +71,8 @@
 constexpr core::Duration kGraceMargin = milliseconds{400};
 // Below this fleet size the member list is read again after the own entry was written.
 constexpr std::size_t kSmallFleetSize = 8;
+constexpr double kMegabyte = 1U << 20U;
+constexpr route::CallerLimits kInternalLimits{.body_bytes = std::size_t{256} << 10U};
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr int kBadRequest = 400;
@@ -102,6 +104,7 @@
         adapter(daemon_adapter),
         self(settings::to_string(settings.advertised)),
         incarnation(new_incarnation()),
+        caller_memory(static_cast<std::size_t>(settings.caller_memory_share * kMegabyte * settings.memory_mb)),
         log(settings.name, {}),
         crash_tally(settings.policy.quarantine),
         server_pool(settings.policy.placement),
@@ -127,6 +130,11 @@
                                                       [this](const auto& request) { answer_admin(*request); });
     }
     ingress.set_local_service(settings.service);
+    call_listener.limit_memory(&caller_memory);
+    // Only the server and the platform call these; their messages are small.
+    for (HttpListener* const listener : {&readiness_listener, &control_listener, admin_listener.get()}) {
+      if (listener != nullptr) listener->set_caller_limits(kInternalLimits);
+    }
     call_listener.set_pipelining_rule([this](const http::Request& request) { return ingress.is_idempotent(request); });
     (void)settings_file_changed();
     wait_for_signal();
@@ -206,6 +214,12 @@
       return peer::Configuration{ingress.table()->version(), configuration_document};
     };
     hooks.on_crash_notice = [this](const peer::CrashNotice& crash) { on_crash_notice(crash); };
+    hooks.reserve_body = [this](std::size_t bytes) -> std::optional<peer::BodyReservation> {
+      auto accepted = caller_memory.accept(bytes);
+      if (!accepted) return std::nullopt;
+      const auto reservation = std::make_shared<CallerMemory::Reservation>(std::move(*accepted));
+      return [reservation](std::string&& body) { return make_shared_body(std::move(body), std::move(*reservation)); };
+    };
     hooks.on_quota_report = [this](const std::string& endpoint, const quota::Report& report) {
       return quota.on_report(endpoint, report);
     };
@@ -614,6 +628,8 @@
   core::Duration store_read_backoff{0};
   bool stopping = false;
   core::TimePoint stop_started_at;
+  /// Outlives all holders of bodies, which release their memory there.
+  CallerMemory caller_memory;
   core::TimePoint sweep_due;
   core::TimePoint load_update_due;
   /// Work time in the last load update.
--- a/src/damaskthread/mesh/fwd.h
+++ b/src/damaskthread/mesh/fwd.h
@@ -8,6 +8,7 @@
 struct Policy;
 struct RequestOptions;
 class Adapter;
+class CallerMemory;
 class CallerRequest;
 class Daemon;
 class EventLog;
--- a/src/damaskthread/mesh/http_codec.cc
+++ b/src/damaskthread/mesh/http_codec.cc
@@ -54,10 +54,9 @@
   return ReadState::kMalformed;
 }
 
-template <bool kIsRequest>
-std::string serialize(bhttp::message<kIsRequest, bhttp::string_body>& message) {
+std::string serialize(bhttp::response<bhttp::string_body>& message) {
   message.prepare_payload();
-  bhttp::serializer<kIsRequest, bhttp::string_body> serializer(message);
+  bhttp::serializer<false, bhttp::string_body> serializer(message);
   std::string bytes;
   error_code error;
   while (!error && !serializer.is_done()) {
@@ -98,7 +97,19 @@
   return parse_pending();
 }
 
-ReadState RequestReader::parse_pending() { return parse(*parser_, pending_); }
+ReadState RequestReader::parse_pending() {
+  const ReadState state = parse(*parser_, pending_);
+  // Behind the header only chunk sizes with their extensions and trailers stay unparsed; they have no limit of their
+  // own.
+  const bool framing_too_large =
+      state == ReadState::kNeedMore && parser_->is_header_done() && pending_.size() > max_header_bytes_;
+  return framing_too_large ? ReadState::kHeaderTooLarge : state;
+}
+
+void RequestReader::discard() {
+  std::string().swap(pending_);
+  reset();
+}
 
 bool RequestReader::started() const noexcept { return parser_->got_some() || !pending_.empty(); }
 std::size_t RequestReader::held_bytes() const noexcept { return pending_.size() + parser_->get().body().size(); }
@@ -173,14 +184,14 @@
   return response;
 }
 
-std::string to_bytes(const http::Request& request) {
-  bhttp::request<bhttp::string_body> message;
-  message.version(11);
-  message.method_string(request.method);
-  message.target(request.target);
-  for (const http::Header& header : request.headers) message.insert(header.name, header.value);
-  message.body() = request.body;
-  return serialize<true>(message);
+std::string head_to_bytes(const http::Request& request, std::size_t body_bytes) {
+  std::string bytes = request.method + " " + request.target + " HTTP/1.1\r\n";
+  for (const http::Header& header : request.headers)
+    bytes.append(header.name).append(": ").append(header.value).append("\r\n");
+  // An empty body needs no length where the method expects none (RFC 9110, section 8.6).
+  const bool has_body = request.method == "POST" || request.method == "PUT" || request.method == "OPTIONS";
+  if (body_bytes > 0 || has_body) bytes.append("Content-Length: ").append(std::to_string(body_bytes)).append("\r\n");
+  return bytes.append("\r\n");
 }
 
 std::string to_bytes(const http::Response& response, bool close) {
@@ -191,7 +202,7 @@
   for (const http::Header& header : response.headers) message.insert(header.name, header.value);
   message.body() = response.body;
   message.keep_alive(!close);
-  return serialize<false>(message);
+  return serialize(message);
 }
 
 }  // namespace damaskthread::mesh
--- a/src/damaskthread/mesh/http_codec.h
+++ b/src/damaskthread/mesh/http_codec.h
@@ -41,6 +41,8 @@
   [[nodiscard]] std::size_t pending_bytes() const noexcept { return pending_.size(); }
   /// @return Bytes buffered for requests that were not taken yet.
   [[nodiscard]] std::size_t held_bytes() const noexcept;
+  /// @brief Drops all that was received.
+  void discard();
 
  private:
   struct Parser;
@@ -90,8 +92,8 @@
   bool keep_alive_ = true;
 };
 
-/// @brief Serializes a request; `Content-Length` is set from the body.
-[[nodiscard]] std::string to_bytes(const http::Request& request);
+/// @brief Serializes the head of a request, which is sent in front of the body.
+[[nodiscard]] std::string head_to_bytes(const http::Request& request, std::size_t body_bytes);
 /// @brief Serializes a response; `Content-Length` is set from the body.
 /// @param close Whether the connection closes after the response.
 [[nodiscard]] std::string to_bytes(const http::Response& response, bool close);
--- a/src/damaskthread/mesh/http_connection.cc
+++ b/src/damaskthread/mesh/http_connection.cc
@@ -34,18 +34,25 @@
 }
 
 void HttpConnection::send(const http::Request& request, Callback callback) {
+  send(request, request.body.empty() ? nullptr : std::make_shared<const std::string>(request.body),
+       std::move(callback));
+}
+
+void HttpConnection::send(const http::Request& request, http::SharedBody body, Callback callback) {
   callback_ = std::move(callback);
   if (!match_header_.empty()) {
     match_value_ = http::find(request.headers, match_header_);
     sent_values_.push_back(hash_of(match_value_));
     if (sent_values_.size() >= kMaxMatchedRequests) reusable_ = false;
   }
-  const std::string bytes = to_bytes(request);
+  std::string head = head_to_bytes(request, http::view(body).size());
   if (connected_) {
-    stream_->write(bytes);
+    stream_->write(head);
+    stream_->write(std::move(body));
     return;
   }
-  queued_request_ = bytes;
+  queued_head_ = std::move(head);
+  queued_body_ = std::move(body);
   if (connecting_) return;
   connecting_ = true;
   stream_->connect(endpoint_, [weak = weak_from_this()](ConnectResult result) {
@@ -62,7 +69,8 @@
   }
   connected_ = true;
   stream_->start(this);
-  stream_->write(std::exchange(queued_request_, {}));
+  stream_->write(std::exchange(queued_head_, {}));
+  stream_->write(std::exchange(queued_body_, nullptr));
 }
 
 bool HttpConnection::usable(core::TimePoint now) const noexcept {
@@ -151,6 +159,7 @@
 void HttpConnection::close() {
   callback_ = nullptr;
   reusable_ = false;
+  queued_body_.reset();
   release_memory();
   stream_->close();
 }
--- a/src/damaskthread/mesh/http_connection.h
+++ b/src/damaskthread/mesh/http_connection.h
@@ -55,7 +55,10 @@
   }
 
   /// @brief Sends a request. Requires `usable`.
+  /// @param body The body that is sent instead of that in `request`.
   /// @param callback Called once, never from within this call; not called after `close`.
+  void send(const http::Request& request, http::SharedBody body, Callback callback);
+  /// @brief Sends a request with its own body.
   void send(const http::Request& request, Callback callback);
   /// @brief Closes the connection and drops a request in progress without invoking its callback.
   void close();
@@ -88,7 +91,8 @@
   std::vector<std::uint64_t> sent_values_;
   std::shared_ptr<ResponseMemoryLimit> memory_limit_;
   std::size_t reserved_bytes_ = 0;
-  std::string queued_request_;
+  std::string queued_head_;
+  http::SharedBody queued_body_;
   Callback callback_;
   bool connecting_ = false;
   bool connected_ = false;
--- a/src/damaskthread/mesh/http_listener.cc
+++ b/src/damaskthread/mesh/http_listener.cc
@@ -21,12 +21,17 @@
 constexpr int kTimeout = 408;
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeaderTooLarge = 431;
+constexpr int kUnavailable = 503;
+// Seconds; large requests that were refused for lack of memory should not come back at once.
+constexpr const char* kMemoryRetryAfter = "1";
 
 int error_status(ReadState state) {
   if (state == ReadState::kHeaderTooLarge) return kHeaderTooLarge;
   return state == ReadState::kBodyTooLarge ? kBodyTooLarge : kBadRequest;
 }
 
+http::Response unavailable() { return {kUnavailable, {{"Retry-After", kMemoryRetryAfter}}, {}}; }
+
 }  // namespace
 
 void CallerRequest::answer(const http::Response& response) {
@@ -50,6 +55,36 @@
   const auto self = shared_from_this();
   last_activity_ = now();
   process(reader_.add(bytes));
+  update_memory();
+}
+
+void Session::update_memory() {
+  if (listener_.memory_ == nullptr || input_ended_) return;
+  const std::size_t waiting = waiting_request_ ? waiting_request_->message.body.size() : 0;
+  const std::size_t before = std::exchange(reading_bytes_, reader_.held_bytes() + waiting);
+  listener_.memory_->resize_reading(before, reading_bytes_);
+  listener_.enforce_memory_limit();
+}
+
+void Session::evict() {
+  reader_.discard();
+  waiting_request_.reset();
+  input_ended_ = true;
+  reject_status_ = kUnavailable;
+  release_memory();
+  if (exchanges_.empty()) reject(*reject_status_);
+}
+
+void Session::release_memory() noexcept {
+  const std::size_t bytes = std::exchange(reading_bytes_, 0);
+  if (listener_.memory_ != nullptr) listener_.memory_->resize_reading(bytes, 0);
+}
+
+std::optional<CallerMemory::Reservation> Session::accept_body(const http::Request& message) {
+  if (listener_.memory_ == nullptr) return CallerMemory::Reservation();
+  const std::size_t read = std::exchange(reading_bytes_, reader_.held_bytes());
+  listener_.memory_->resize_reading(read, reading_bytes_);
+  return listener_.memory_->accept(message.body.size());
 }
 
 void Session::process(ReadState state) {
@@ -92,9 +127,13 @@
 }
 
 void Session::dispatch(WaitingRequest&& waiting) {
+  auto memory = accept_body(waiting.message);
+  if (!memory) std::string().swap(waiting.message.body);
   const auto request = std::make_shared<CallerRequest>(std::move(waiting.message), waiting.received);
   exchanges_.push_back({request, std::nullopt, waiting.last});
   input_ended_ = waiting.last;
+  if (!memory) return record_response(request.get(), unavailable());
+  request->memory = std::move(*memory);
   request->send_response_ = [weak = weak_from_this(), key = request.get()](const http::Response& response) {
     if (const auto self = weak.lock()) self->record_response(key, response);
   };
@@ -112,6 +151,8 @@
   if (reject_status_ && exchanges_.empty() && !waiting_request_) return reject(*reject_status_);
   if (input_ended_) return;
   process(reader_.parse_pending());
+  update_memory();
+  if (input_ended_) return;
   if (exchanges_.empty() || reader_.held_bytes() <= kMaxPipelinedBytes) stream_->resume();
 }
 
@@ -148,8 +189,7 @@
 }
 
 void Session::reject(int status) {
-  http::Response response;
-  response.status = status;
+  http::Response response = status == kUnavailable ? unavailable() : http::Response{status, {}, {}};
   stream_->write(to_bytes(response, true));
   listener_.close_after_response(shared_from_this(), stream_);
 }
@@ -166,6 +206,7 @@
   const auto self = shared_from_this();
   stream_->close();
   input_ended_ = true;
+  release_memory();
   listener_.sessions_.erase(self);
   for (const Exchange& exchange : std::exchange(exchanges_, {})) {
     exchange.request->done_ = true;
@@ -194,7 +235,11 @@
 HttpListener::~HttpListener() { close(); }
 
 void HttpListener::add_session(Stream::Socket socket) {
-  if (sessions_.size() >= max_sessions_) return;
+  if (sessions_.size() + closing_streams_.size() >= max_sessions_) {
+    std::erase_if(closing_streams_, [](const auto& stream) { return !stream->open(); });
+    if (sessions_.size() + closing_streams_.size() >= max_sessions_) evict_quietest();
+    if (sessions_.size() + closing_streams_.size() >= max_sessions_) return;
+  }
   const auto session = std::make_shared<Session>(*this, std::move(socket));
   sessions_.insert(session);
   session->start();
@@ -203,13 +248,36 @@
 void HttpListener::sweep(core::TimePoint now) {
   const std::vector<std::shared_ptr<Session>> sessions(sessions_.begin(), sessions_.end());
   for (const auto& session : sessions) session->sweep(now);
-  std::erase_if(closing_streams_, [](const auto& stream) { return !stream->open() || stream->unsent_bytes() == 0; });
+  std::erase_if(closing_streams_, [](const auto& stream) { return !stream->open(); });
+}
+
+void HttpListener::enforce_memory_limit() {
+  while (memory_ != nullptr && memory_->exceeded()) {
+    // Of equally large requests the one that has been quiet for longest is the least likely to end.
+    const auto largest = std::max_element(sessions_.begin(), sessions_.end(), [](const auto& a, const auto& b) {
+      return a->reading_bytes() != b->reading_bytes() ? a->reading_bytes() < b->reading_bytes()
+                                                      : a->last_activity() > b->last_activity();
+    });
+    if (largest == sessions_.end() || (*largest)->reading_bytes() == 0) return;
+    const std::shared_ptr<Session> session = *largest;
+    session->evict();
+  }
+}
+
+void HttpListener::evict_quietest() {
+  std::shared_ptr<Session> quietest;
+  for (const auto& session : sessions_) {
+    if (session->has_requests()) continue;
+    if (quietest == nullptr || session->last_activity() < quietest->last_activity()) quietest = session;
+  }
+  if (quietest != nullptr) quietest->drop();
 }
 
 void HttpListener::close_after_response(const std::shared_ptr<Session>& session,
                                         const std::shared_ptr<Stream>& stream) {
+  session->release_memory();
   stream->close_after_write();
-  if (stream->unsent_bytes() > 0) closing_streams_.push_back(stream);
+  if (stream->open()) closing_streams_.push_back(stream);
   sessions_.erase(session);
 }
 
--- a/src/damaskthread/mesh/http_listener.h
+++ b/src/damaskthread/mesh/http_listener.h
@@ -18,6 +18,7 @@
 #include "damaskthread/core/types.h"
 #include "damaskthread/http/message.h"
 #include "damaskthread/mesh/acceptor.h"
+#include "damaskthread/mesh/caller_memory.h"
 #include "damaskthread/mesh/http_codec.h"
 #include "damaskthread/mesh/stream.h"
 #include "damaskthread/route/route_table.h"
@@ -40,6 +41,8 @@
 
   http::Request request;
   core::TimePoint received;
+  /// Memory of the body in `request`; empty if the listener has no limit.
+  CallerMemory::Reservation memory;
 
  private:
   friend class Session;
@@ -68,6 +71,15 @@
   void drop();
   /// @brief Closes the connection unless a request has arrived. Queued data is still sent.
   void close_if_idle();
+  /// @brief Rejects the request that is being read, which has not run, and closes the connection. Requests in progress
+  /// are answered first.
+  void evict();
+  /// @return Whether any request was passed to the handler and is not answered, or waits for that.
+  [[nodiscard]] bool has_requests() const noexcept { return !exchanges_.empty() || waiting_request_.has_value(); }
+  /// @brief Releases the memory of requests that are being read, when the connection ends.
+  void release_memory() noexcept;
+  /// @return Bytes of requests that are being read or wait for the requests in front of them.
+  [[nodiscard]] std::size_t reading_bytes() const noexcept { return reading_bytes_; }
   [[nodiscard]] core::TimePoint last_activity() const noexcept { return last_activity_; }
   [[nodiscard]] bool idle() const noexcept { return exchanges_.empty() && !waiting_request_ && !reader_.started(); }
 
@@ -100,6 +112,11 @@
   /// @return Whether the connection stays open.
   [[nodiscard]] bool send_first(const http::Response& response);
   void reject(int status);
+  /// Takes the bytes of a request out of the limit for requests that are read.
+  /// @return The reservation of its body, or nothing if there is no room.
+  [[nodiscard]] std::optional<CallerMemory::Reservation> accept_body(const http::Request& message);
+  /// Reports the bytes being read, and lets the listener reject the largest requests if they exceed the limit.
+  void update_memory();
 
   HttpListener& listener_;
   std::shared_ptr<Stream> stream_;
@@ -114,12 +131,15 @@
   /// No request is accepted any more: the last one was read, or the connection is closing.
   bool input_ended_ = false;
   bool resume_pending_ = false;
+  /// Bytes reported to the listener's memory limit.
+  std::size_t reading_bytes_ = 0;
 };
 
 /// @brief Listens on one address and manages the sessions of its callers.
 class HttpListener {
  public:
-  /// @param max_sessions Maximum number of connections; further ones are closed immediately.
+  /// @param max_sessions Maximum number of connections. A further one takes the place of the quietest one without a
+  /// request in progress, or is closed immediately if there is none.
   HttpListener(boost::asio::io_context& io, const http::Endpoint& endpoint, std::size_t max_sessions,
                RequestHandler handler);
   ~HttpListener();
@@ -128,6 +148,8 @@
   void set_caller_limits(const route::CallerLimits& limits) { caller_limits_ = limits; }
   /// @brief Lets pipelined requests run concurrently if a rule allows it; by default all run one after the other.
   void set_pipelining_rule(PipeliningRule rule) { pipelining_rule_ = std::move(rule); }
+  /// @brief Applies a memory limit to the requests of all connections; it must outlive the listener.
+  void limit_memory(CallerMemory* memory) noexcept { memory_ = memory; }
   /// @brief From now on a connection is closed by the response to the last of its requests that are in progress.
   void drain() noexcept { draining_ = true; }
   /// @brief Stops accepting connections and closes idle ones. Requests in progress are still answered, including those
@@ -147,15 +169,20 @@
   void add_session(Stream::Socket socket);
   /// Removes a session; its connection closes once the queued response is sent.
   void close_after_response(const std::shared_ptr<Session>& session, const std::shared_ptr<Stream>& stream);
+  /// Rejects requests that are being read, the largest first, until the memory limit holds.
+  void enforce_memory_limit();
+  /// Makes room for a new connection by closing the one that has been quiet for longest.
+  void evict_quietest();
 
   boost::asio::io_context& io_;
   std::size_t max_sessions_;
   RequestHandler handler_;
   PipeliningRule pipelining_rule_;
   route::CallerLimits caller_limits_;
+  CallerMemory* memory_ = nullptr;
   bool draining_ = false;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
-  /// Connections of removed sessions that are still sending.
+  /// Connections of removed sessions that the callers have not closed yet.
   std::vector<std::shared_ptr<Stream>> closing_streams_;
   Acceptor acceptor_;
 };
--- a/src/damaskthread/mesh/ingress.cc
+++ b/src/damaskthread/mesh/ingress.cc
@@ -125,6 +125,7 @@
     exchange->response_deadline = std::min(exchange->response_deadline, caller->received + route->timeout);
   }
   http::remove_hop_by_hop(caller->request.headers);
+  exchange->body = make_shared_body(std::move(caller->request.body), std::move(caller->memory));
   exchanges_.emplace(exchange->number, exchange);
   caller->on_disconnect([this, exchange] {
     if (exchange->credit_deadline) dependencies_.quota.ledger().abandon(exchange->tenant->name);
@@ -299,6 +300,7 @@
   execute.max_wait = exchange->inner ? execute.time_left : scaled(exchange->route->objective, options_.max_wait_share);
   execute.sent_at = now;
   execute.request = exchange->caller->request;
+  execute.body = exchange->body;
   exchange->endpoint = endpoint;
   exchange->stream = execute.stream;
   exchange->placed = true;
--- a/src/damaskthread/mesh/ingress.h
+++ b/src/damaskthread/mesh/ingress.h
@@ -84,6 +84,7 @@
   struct Exchange {
     std::uint64_t number = 0;
     std::shared_ptr<CallerRequest> caller;
+    http::SharedBody body;
     std::shared_ptr<const route::RouteTable> table;
     const route::Route* route = nullptr;
     /// Tenant of the caller, owned by the table; null if the request carried no key.
--- a/src/damaskthread/mesh/local_executor.cc
+++ b/src/damaskthread/mesh/local_executor.cc
@@ -6,6 +6,9 @@
 #include <array>
 #include <charconv>
 #include <chrono>
+#include <memory>
+#include <new>
+#include <string_view>
 #include <utility>
 
 #include "damaskthread/mesh/clock.h"
@@ -46,11 +49,16 @@
 constexpr int kMisdirected = 421;
 
 std::uint64_t fingerprint_of(const peer::Execute& execute) {
-  const std::array<const std::string*, 5> parts = {&execute.service, &execute.caller_service, &execute.request.method,
-                                                   &execute.request.target, &execute.request.body};
-  std::string text;
-  for (const std::string* part : parts) text.append(*part).push_back('\0');
-  return XXH3_64bits(text.data(), text.size());
+  const std::array<std::string_view, 5> parts = {execute.service, execute.caller_service, execute.request.method,
+                                                 execute.request.target, http::view(execute.body)};
+  const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> state(XXH3_createState(), XXH3_freeState);
+  if (state == nullptr) throw std::bad_alloc();
+  XXH3_64bits_reset(state.get());
+  for (const std::string_view part : parts) {
+    XXH3_64bits_update(state.get(), part.data(), part.size());
+    XXH3_64bits_update(state.get(), "", 1);  // A separator, so that a byte cannot move from one part to the next.
+  }
+  return XXH3_64bits_digest(state.get());
 }
 
 // Callers take these statuses to mean that the request did not run.
@@ -143,6 +151,7 @@
 }
 
 void LocalExecutor::admit(const RunPointer& run, core::TimePoint now) {
+  if (run->execute.body_dropped) return refuse(run, core::Cause::kOverload);
   if (run->deadline <= now) return refuse(run, core::Cause::kDeadline);
   if (tally_.held(run->fingerprint, now)) return refuse(run, core::Cause::kQuarantined);
   const gate::ServerState state = life_.state(now);
@@ -198,7 +207,7 @@
   http::set(request.headers, names.target_server, life_.last_heartbeat()->id);
   const bool recently_used_only = !run->execute.idempotent || run->resent;
   run->connection = connections_.acquire(now, recently_used_only, run->execute.attempt_id);
-  run->connection->send(request, [this, weak = std::weak_ptr<Run>(run)](ExchangeResult exchange) {
+  run->connection->send(request, run->execute.body, [this, weak = std::weak_ptr<Run>(run)](ExchangeResult exchange) {
     if (const RunPointer self = weak.lock()) on_exchange(self, std::move(exchange));
   });
 }
--- a/src/damaskthread/mesh/peer_link.cc
+++ b/src/damaskthread/mesh/peer_link.cc
@@ -36,7 +36,7 @@
   http::Endpoint address;
   if (!http::parse_endpoint(endpoint_, address)) return;
   connecting_ = true;
-  reader_ = {};
+  reader_ = peer::FrameReader();
   stream_ = std::make_shared<Stream>(io_, kLinkTimeouts);
   stream_->connect(address, [weak = weak_from_this()](ConnectResult result) {
     if (const auto self = weak.lock()) self->on_connected(result);
@@ -81,7 +81,11 @@
 
 void PeerLink::execute(const peer::Execute& execute, RequestObserver observer) {
   pending_[execute.stream] = {execute.idempotent, std::move(observer)};
-  send(execute);
+  if (!handshake_done_) return;
+  std::string head;
+  peer::append_frame_head(head, execute);
+  stream_->write(head);
+  stream_->write(execute.body);
 }
 
 void PeerLink::cancel(std::uint64_t stream) {
--- a/src/damaskthread/mesh/peer_listener.cc
+++ b/src/damaskthread/mesh/peer_listener.cc
@@ -28,7 +28,9 @@
 class PeerListener::PeerSession : public StreamHandler, public std::enable_shared_from_this<PeerSession> {
  public:
   PeerSession(PeerListener& owner, Stream::Socket socket)
-      : owner_(owner), stream_(std::make_shared<Stream>(std::move(socket), kSessionTimeouts)) {}
+      : owner_(owner),
+        stream_(std::make_shared<Stream>(std::move(socket), kSessionTimeouts)),
+        reader_(owner.hooks_.reserve_body) {}
 
   void start() {
     stream_->start(this);
--- a/src/damaskthread/mesh/peer_listener.h
+++ b/src/damaskthread/mesh/peer_listener.h
@@ -36,6 +36,8 @@
     std::function<void(const peer::CrashNotice&)> on_crash_notice;
     /// Processes a report of the quotas of a peer, as their coordinator.
     std::function<quota::Grant(const std::string& endpoint, const quota::Report&)> on_quota_report;
+    /// Reserves memory for the body of a peer's request; all are accepted if unset.
+    peer::ReserveBody reserve_body{};
   };
 
   PeerListener(boost::asio::io_context& io, const http::Endpoint& endpoint, LocalExecutor& gate, Hooks hooks);
--- a/src/damaskthread/mesh/settings.cc
+++ b/src/damaskthread/mesh/settings.cc
@@ -81,6 +81,16 @@
   out = value->get<double>();
 }
 
+void read_share(ObjectReader& reader, std::string_view name, double& out) {
+  const Json* value = reader.field(name, Presence::kOptional);
+  if (value == nullptr) return;
+  if (!value->is_number() || value->get<double>() <= 0 || value->get<double>() > 1) {
+    reader.error(name, "expected a number above 0 and up to 1");
+    return;
+  }
+  out = value->get<double>();
+}
+
 void read_log_level(ObjectReader& reader, settings::LogLevel& out) {
   std::string text;
   if (!reader.string("log_level", text, kMaxTextLength, Presence::kOptional)) return;
@@ -116,6 +126,7 @@
   read_duration(reader, "heartbeat", settings.heartbeat);
   reader.integer("max_descriptors", settings.max_descriptors, kMinDescriptors, kMaxDescriptors, Presence::kOptional);
   reader.integer("memory_mb", settings.memory_mb, kMinMemoryMb, kMaxMemoryMb, Presence::kOptional);
+  read_share(reader, "caller_memory_share", settings.caller_memory_share);
   read_log_level(reader, settings.log_level);
   read_promises(reader.field("promises", Presence::kOptional), source, errors, settings.promises);
   read_policy(reader.field("policy", Presence::kOptional), source, errors, settings.policy);
@@ -219,8 +230,9 @@
       << "\nseeds:";
   for (const settings::Endpoint& seed : settings.seeds) out << " " << to_string(seed);
   out << "\nheartbeat: " << ms(settings.heartbeat) << "\nmax_descriptors: " << settings.max_descriptors
-      << "\nmemory_mb: " << settings.memory_mb << "\nlog_level: " << to_string(settings.log_level)
-      << "\npromises.drain: " << ms(settings.promises.drain) << "\npromises.grace: " << ms(settings.promises.grace)
+      << "\nmemory_mb: " << settings.memory_mb << "\ncaller_memory_share: " << settings.caller_memory_share
+      << "\nlog_level: " << to_string(settings.log_level) << "\npromises.drain: " << ms(settings.promises.drain)
+      << "\npromises.grace: " << ms(settings.promises.grace)
       << "\npromises.repeat_ratio: " << settings.promises.repeat_ratio
       << "\npromises.repeat_window: " << ms(settings.promises.repeat_window)
       << "\npromises.repeat_slack: " << settings.promises.repeat_slack << "\n"
--- a/src/damaskthread/mesh/settings.h
+++ b/src/damaskthread/mesh/settings.h
@@ -53,6 +53,9 @@
   Policy policy;
   std::uint32_t max_descriptors = 4096;
   std::uint32_t memory_mb = 160;  ///< Memory limit of the process in megabytes.
+  /// Share of `memory_mb` for the requests of callers. With the default a daemon of 160 MB can hold a body of 64 MB,
+  /// the largest one that configurations permit by default.
+  double caller_memory_share = 0.45;
   settings::LogLevel log_level = settings::LogLevel::kInfo;
 };
 
--- a/src/damaskthread/mesh/stream.cc
+++ b/src/damaskthread/mesh/stream.cc
@@ -13,8 +13,6 @@
 #include <chrono>
 #include <utility>
 
-#include "damaskthread/core/buffer.h"
-
 namespace damaskthread::mesh {
 namespace {
 
@@ -137,34 +135,50 @@
 }
 
 void Stream::write(std::string_view bytes) {
-  if (!open_ || closing_after_write_) return;
-  write_buffer_.append(bytes);
+  if (!open_ || closing_after_write_ || bytes.empty()) return;
+  if (chunks_.empty() || chunks_.back().shared != nullptr) chunks_.emplace_back();
+  chunks_.back().copied.append(bytes);
+  unsent_bytes_ += bytes.size();
+  if (!write_pending_) flush();
+}
+
+void Stream::write(http::SharedBody body) {
+  if (!open_ || closing_after_write_ || body == nullptr) return;
+  unsent_bytes_ += body->size();
+  chunks_.push_back({{}, std::move(body)});
   if (!write_pending_) flush();
 }
 
 void Stream::flush() {
-  while (written_ < write_buffer_.size()) {
+  while (!chunks_.empty()) {
+    const std::string_view bytes = chunks_.front().bytes().substr(written_);
     error_code error;
-    written_ +=
-        socket_.write_some(asio::buffer(write_buffer_.data() + written_, write_buffer_.size() - written_), error);
+    const std::size_t size = socket_.write_some(asio::buffer(bytes.data(), bytes.size()), error);
+    written_ += size;
+    unsent_bytes_ -= size;
     if (error == asio::error::would_block) {
       wait_write();
       return;
     }
     if (error) {
       // The next read reports the end of the connection, after the data that the peer sent before it.
-      write_buffer_.clear();
-      written_ = 0;
+      drop_unsent();
       if (handler_ == nullptr || paused_) close();
       return;
     }
+    if (size < bytes.size()) continue;
+    chunks_.pop_front();
+    written_ = 0;
   }
-  write_buffer_.clear();
-  written_ = 0;
-  core::shrink_if_empty(write_buffer_);
   if (closing_after_write_) shut_down_send();
 }
 
+void Stream::drop_unsent() {
+  chunks_.clear();
+  written_ = 0;
+  unsent_bytes_ = 0;
+}
+
 void Stream::wait_write() {
   write_pending_ = true;
   socket_.async_wait(Socket::wait_write, [self = shared_from_this()](const error_code& error) {
@@ -201,6 +215,7 @@
 void Stream::close() {
   handler_ = nullptr;
   open_ = false;
+  drop_unsent();
   connect_timer_.cancel();
   error_code ignored;
   socket_.close(ignored);
--- a/src/damaskthread/mesh/stream.h
+++ b/src/damaskthread/mesh/stream.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -65,6 +66,8 @@
   void start(StreamHandler* handler);
   /// @brief Queues bytes and sends as many as the socket accepts immediately.
   void write(std::string_view bytes);
+  /// @brief The same for a shared body, which is not copied.
+  void write(http::SharedBody body);
   /// @brief Stops reading until `resume`, which applies backpressure to the sender.
   void pause() noexcept { paused_ = true; }
   void resume();
@@ -77,13 +80,23 @@
 
   [[nodiscard]] bool open() const noexcept { return open_; }
   /// @return Bytes queued and not yet accepted by the socket.
-  [[nodiscard]] std::size_t unsent_bytes() const noexcept { return write_buffer_.size() - written_; }
+  [[nodiscard]] std::size_t unsent_bytes() const noexcept { return unsent_bytes_; }
 
  private:
+  // Queued bytes: either copied ones or a shared body.
+  struct Chunk {
+    std::string copied;
+    http::SharedBody shared;
+    [[nodiscard]] std::string_view bytes() const noexcept {
+      return shared == nullptr ? std::string_view(copied) : std::string_view(*shared);
+    }
+  };
+
   void set_socket_options();
   void wait_read();
   void on_readable();
   void flush();
+  void drop_unsent();
   void wait_write();
   void shut_down_send();
   void close_and_notify(StreamCloseReason reason);
@@ -92,8 +105,10 @@
   StreamTimeouts timeouts_;
   boost::asio::steady_timer connect_timer_;
   StreamHandler* handler_ = nullptr;
-  std::string write_buffer_;
+  std::deque<Chunk> chunks_;
+  /// Bytes of the first chunk that were sent.
   std::size_t written_ = 0;
+  std::size_t unsent_bytes_ = 0;
   bool open_ = false;
   bool read_pending_ = false;
   bool write_pending_ = false;
--- a/src/damaskthread/peer/frame.cc
+++ b/src/damaskthread/peer/frame.cc
@@ -144,13 +144,13 @@
 };
 
 std::string_view body_of(const Message& message) {
-  if (const auto* execute = std::get_if<Execute>(&message)) return execute->request.body;
+  if (const auto* execute = std::get_if<Execute>(&message)) return http::view(execute->body);
   if (const auto* result = std::get_if<Result>(&message)) return result->response.body;
   if (const auto* configuration = std::get_if<Configuration>(&message)) return configuration->document;
   return {};
 }
 
-Message decode_hello(const Json& fields, std::string&& /*body*/) {
+Message decode_hello(const Json& fields) {
   Hello hello;
   hello.protocol = fields.at(1).get<std::uint64_t>();
   hello.incarnation.value = fields.at(2).get<std::uint64_t>();
@@ -159,7 +159,7 @@
   return hello;
 }
 
-Message decode_execute(const Json& fields, std::string&& body) {
+Message decode_execute(const Json& fields) {
   Execute execute;
   execute.stream = fields.at(1).get<std::uint64_t>();
   execute.attempt_id = fields.at(2).get<std::string>();
@@ -178,11 +178,10 @@
   execute.request.headers = decode_headers(fields.at(15));
   // Absent in frames of daemons of the previous version.
   if (fields.size() > 17) execute.calls_left = std::max(1, fields.at(17).get<int>());
-  execute.request.body = std::move(body);
   return execute;
 }
 
-Message decode_result(const Json& fields, std::string&& body) {
+Message decode_result(const Json& fields) {
   Result result;
   result.stream = fields.at(1).get<std::uint64_t>();
   result.verdict.execution = static_cast<core::Execution>(fields.at(2).get<int>());
@@ -195,16 +194,15 @@
   result.response.status = fields.at(9).get<int>();
   result.response.headers = decode_headers(fields.at(10));
   result.call_refused = fields.at(11).get<bool>();
-  result.response.body = std::move(body);
   return result;
 }
 
-Message decode_cancel(const Json& fields, std::string&& /*body*/) { return Cancel{fields.at(1).get<std::uint64_t>()}; }
-Message decode_resume(const Json& fields, std::string&& /*body*/) {
+Message decode_cancel(const Json& fields) { return Cancel{fields.at(1).get<std::uint64_t>()}; }
+Message decode_resume(const Json& fields) {
   return Resume{fields.at(1).get<std::uint64_t>(), fields.at(2).get<bool>()};
 }
 
-Message decode_status(const Json& fields, std::string&& /*body*/) {
+Message decode_status(const Json& fields) {
   Status status;
   status.configuration_version = fields.at(1).get<std::uint64_t>();
   status.service = fields.at(2).get<std::string>();
@@ -220,23 +218,21 @@
   return status;
 }
 
-Message decode_configuration(const Json& fields, std::string&& body) {
-  return Configuration{fields.at(1).get<std::uint64_t>(), std::move(body)};
-}
+Message decode_configuration(const Json& fields) { return Configuration{fields.at(1).get<std::uint64_t>(), {}}; }
 
-Message decode_crash(const Json& fields, std::string&& /*body*/) {
+Message decode_crash(const Json& fields) {
   return CrashNotice{{fields.at(1).get<std::uint64_t>(), fields.at(2).get<std::vector<std::uint64_t>>()}};
 }
 
-Message decode_pulse(const Json& fields, std::string&& /*body*/) {
+Message decode_pulse(const Json& fields) {
   return LoadUpdate{fields.at(1).get<std::uint64_t>(), decode_load(fields.at(2))};
 }
 
-Message decode_configuration_request(const Json& fields, std::string&& /*body*/) {
+Message decode_configuration_request(const Json& fields) {
   return ConfigurationRequest{fields.at(1).get<std::uint64_t>()};
 }
 
-Message decode_quota_report(const Json& fields, std::string&& /*body*/) {
+Message decode_quota_report(const Json& fields) {
   QuotaReport message;
   message.report.sequence = fields.at(1).get<std::uint64_t>();
   message.report.fleet_size = fields.at(2).get<std::uint32_t>();
@@ -247,7 +243,7 @@
   return message;
 }
 
-Message decode_quota_grant(const Json& fields, std::string&& /*body*/) {
+Message decode_quota_grant(const Json& fields) {
   QuotaGrant message;
   message.grant.sequence = fields.at(1).get<std::uint64_t>();
   message.grant.established = fields.at(2).get<bool>();
@@ -258,18 +254,40 @@
   return message;
 }
 
-using Decoder = Message (*)(const Json& fields, std::string&& body);
+using Decoder = Message (*)(const Json& fields);
 constexpr std::array<Decoder, std::variant_size_v<Message>> kDecoders = {
     decode_hello,        decode_execute,       decode_result, decode_cancel, decode_resume,
     decode_status,       decode_configuration, decode_crash,  decode_pulse,  decode_configuration_request,
     decode_quota_report, decode_quota_grant};
 
-boost::leaf::result<std::optional<Message>> malformed_frame(const char* message) {
+// Puts a body that was read into its message.
+void set_body(Message& message, std::string&& body, const std::optional<BodyReservation>& reservation) {
+  if (auto* execute = std::get_if<Execute>(&message)) {
+    if (!execute->body_dropped && reservation) execute->body = (*reservation)(std::move(body));
+  } else if (auto* result = std::get_if<Result>(&message)) {
+    result->response.body = std::move(body);
+  } else if (auto* configuration = std::get_if<Configuration>(&message)) {
+    configuration->document = std::move(body);
+  }
+}
+
+std::optional<BodyReservation> reserve_any(std::size_t /*bytes*/) {
+  return [](std::string&& bytes) -> http::SharedBody { return std::make_shared<const std::string>(std::move(bytes)); };
+}
+
+boost::leaf::error_id malformed_frame(const char* message) {
   return boost::leaf::new_error(core::Error{core::ErrorCode::kInvalidInput, "peer frame", message});
 }
 
 }  // namespace
 
+void append_frame_head(std::string& out, const Execute& execute) {
+  const std::vector<std::uint8_t> fields = Json::to_cbor(Encoder()(execute));
+  append_length(out, kLengthBytes + fields.size() + http::view(execute.body).size());
+  append_length(out, fields.size());
+  out.append(reinterpret_cast<const char*>(fields.data()), fields.size());
+}
+
 void append_frame(std::string& out, const Message& message) {
   const std::vector<std::uint8_t> fields = Json::to_cbor(std::visit(Encoder(), message));
   const std::string_view body = body_of(message);
@@ -279,15 +297,28 @@
   out.append(body);
 }
 
-boost::leaf::result<std::optional<Message>> FrameReader::next() {
+void FrameReader::add(std::string_view bytes) {
+  if (message_) take_body_bytes(bytes);
+  buffer_.append(bytes);
+}
+
+void FrameReader::take_body_bytes(std::string_view& bytes) {
+  const std::string_view taken = bytes.substr(0, body_missing_);
+  const auto* execute = std::get_if<Execute>(&*message_);
+  if (execute == nullptr || !execute->body_dropped) body_.append(taken);
+  body_missing_ -= taken.size();
+  bytes.remove_prefix(taken.size());
+}
+
+boost::leaf::result<bool> FrameReader::read_fields() {
   std::string_view unread = buffer_;
   unread.remove_prefix(read_offset_);
-  if (unread.size() < 2 * kLengthBytes) return std::optional<Message>();
+  if (unread.size() < 2 * kLengthBytes) return false;
   const std::size_t length = read_length(unread);
   if (length < kLengthBytes || length > kMaxFrameBytes) return malformed_frame("the frame length is out of range");
-  if (unread.size() < kLengthBytes + length) return std::optional<Message>();
   const std::size_t field_bytes = read_length(unread.substr(kLengthBytes));
   if (field_bytes > length - kLengthBytes) return malformed_frame("the fields are longer than the frame");
+  if (unread.size() < 2 * kLengthBytes + field_bytes) return false;
   const std::string_view encoded_fields = unread.substr(2 * kLengthBytes, field_bytes);
   const Json fields = Json::from_cbor(encoded_fields.begin(), encoded_fields.end(), true, false);
   if (!fields.is_array() || fields.empty() || !fields.front().is_number_unsigned()) {
@@ -295,19 +326,40 @@
   }
   const auto type = fields.front().get<std::size_t>();
   if (type >= kDecoders.size()) return malformed_frame("the message type is unknown");
-  std::string body(unread.substr(2 * kLengthBytes + field_bytes, length - kLengthBytes - field_bytes));
-  read_offset_ += kLengthBytes + length;
   try {
-    std::optional<Message> message = kDecoders[type](fields, std::move(body));
+    message_ = kDecoders[type](fields);
+  } catch (const Json::exception&) {
+    return malformed_frame("a field is missing or has the wrong type");
+  }
+  body_missing_ = length - kLengthBytes - field_bytes;
+  read_offset_ += 2 * kLengthBytes + field_bytes;
+  auto* execute = std::get_if<Execute>(&*message_);
+  if (execute != nullptr && body_missing_ > 0) {
+    reservation_ = reserve_body_ ? reserve_body_(body_missing_) : reserve_any(body_missing_);
+    execute->body_dropped = !reservation_;
+  }
+  if (execute == nullptr || !execute->body_dropped) body_.reserve(body_missing_);
+  std::string_view rest = std::string_view(buffer_).substr(read_offset_);
+  const std::size_t available = rest.size();
+  take_body_bytes(rest);
+  read_offset_ += available - rest.size();
+  return true;
+}
+
+boost::leaf::result<std::optional<Message>> FrameReader::next() {
+  if (!message_) {
+    BOOST_LEAF_AUTO(complete, read_fields());
     if (read_offset_ == buffer_.size() || read_offset_ > kCompactBytes) {
       buffer_.erase(0, read_offset_);
       read_offset_ = 0;
       core::shrink_if_empty(buffer_);
     }
-    return message;
-  } catch (const Json::exception&) {
-    return malformed_frame("a field is missing or has the wrong type");
+    if (!complete) return std::optional<Message>();
   }
+  if (body_missing_ > 0) return std::optional<Message>();
+  set_body(*message_, std::exchange(body_, {}), reservation_);
+  reservation_.reset();
+  return std::exchange(message_, std::nullopt);
 }
 
 }  // namespace damaskthread::peer
--- a/src/damaskthread/peer/message.h
+++ b/src/damaskthread/peer/message.h
@@ -63,7 +63,11 @@
   core::Duration max_wait{0};
   /// Send time by the sender's clock, to detect requests delayed in transit. The clocks of two daemons differ.
   core::TimePoint sent_at;
+  /// Its body is empty; see `body`.
   http::Request request;
+  http::SharedBody body;
+  /// The receiver had no room for the body and did not keep it; the request must be refused. Not transmitted.
+  bool body_dropped = false;
 };
 
 /// Final result of a request.
--- a/test/damaskthread/mesh/http_listener_test.cc
+++ b/test/damaskthread/mesh/http_listener_test.cc
@@ -172,6 +172,54 @@
   CHECK(fixture.received.find("second") != std::string::npos);
 }
 
+// Trailers and chunk extensions have no limit of their own, and a daemon kept them until it ran out of memory.
+TEST_CASE("trailers and chunk extensions beyond the header limit are rejected") {
+  for (const std::string& framing : {"0\r\nX: " + std::string(20'000, 'x'), "1;" + std::string(20'000, 'x')}) {
+    HttpListenerFixture fixture;
+    fixture.send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + framing);
+    REQUIRE(fixture.wait([&] { return fixture.closed; }));
+    CHECK(fixture.received.find(" 431 ") != std::string::npos);
+    CHECK(fixture.requests.empty());
+  }
+}
+
+// A caller that starts a large body and never ends it must not keep others out.
+TEST_CASE("above the memory limit the largest incomplete request is rejected and small ones are served") {
+  CallerMemory memory(100'000);
+  HttpListenerFixture fixture;
+  fixture.listener.limit_memory(&memory);
+  Tcp::socket second(fixture.io);
+  second.connect({boost::asio::ip::make_address("127.0.0.1"), fixture.listener.port()});
+  const std::string head = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 90000\r\n\r\n";
+  fixture.send(head + std::string(80'000, 'x'));
+  REQUIRE(fixture.wait([&] { return memory.reading() >= 80'000; }));
+  boost::asio::write(second, boost::asio::buffer(head + std::string(40'000, 'x')));
+  REQUIRE(fixture.wait([&] { return fixture.closed; }));
+  CHECK(fixture.received.find(" 503 ") != std::string::npos);
+  CHECK(fixture.received.find("Retry-After: ") != std::string::npos);
+  CHECK(fixture.requests.empty());
+  CHECK(memory.reading() <= 100'000);
+  boost::asio::write(second, boost::asio::buffer(std::string(50'000, 'x')));
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 1; }));
+  CHECK(fixture.requests.front()->request.body.size() == 90'000);
+  CHECK(memory.reading() == 0);
+  CHECK(memory.accepted() == 90'000);
+  fixture.requests.clear();
+  CHECK(memory.accepted() == 0);
+}
+
+TEST_CASE("a new connection takes the place of the quietest one without a request in progress") {
+  HttpListenerFixture fixture;
+  std::vector<Tcp::socket> others;
+  for (int i = 0; i < 100; ++i) {
+    others.emplace_back(fixture.io);
+    others.back().connect({boost::asio::ip::make_address("127.0.0.1"), fixture.listener.port()});
+    fixture.io.run_for(milliseconds(1));
+    fixture.io.restart();
+  }
+  CHECK(fixture.wait([&] { return fixture.closed; }));
+}
+
 TEST_CASE("a request with conflicting lengths or beyond the limits is rejected and its connection closed") {
   const std::string huge(20'000, 'x');
   const std::vector<std::pair<std::string, std::string>> cases = {
--- a/test/damaskthread/mesh/local_executor_test.cc
+++ b/test/damaskthread/mesh/local_executor_test.cc
@@ -81,7 +81,7 @@
     execute.sent_at = now();
     execute.request.method = "POST";
     execute.request.target = "/pay/1";
-    execute.request.body = "body";
+    execute.body = std::make_shared<const std::string>("body");
     return execute;
   }
 
@@ -281,6 +281,19 @@
   }
 }
 
+// The serializer of Beast throws for a TRACE with a body, which ended the daemon.
+TEST_CASE("a TRACE request with a body is sent like any other") {
+  ExecutorFixture fixture;
+  fixture.server.script = [](const http::Request&, ScriptedServer::Connection& connection) {
+    connection.write("HTTP/1.1 200 OK\r\nAttempt: attempt-1\r\nSeal: x\r\nContent-Length: 2\r\n\r\nok");
+  };
+  peer::Execute execute = ExecutorFixture::request(1);
+  execute.request.method = "TRACE";
+  CHECK(fixture.execute_and_wait(std::move(execute)).answered);
+  REQUIRE(fixture.server.requests.size() == 1);
+  CHECK(fixture.server.requests.front().body == "body");
+}
+
 // A server that stops in the middle of its head: what has arrived must not pass for a response without a body.
 TEST_CASE("a response that ends within its head is never passed on") {
   const std::string framing = "HTTP/1.1 200 OK\r\nAttempt: attempt-1\r\nSeal: x\r\n";
--- a/test/damaskthread/peer/frame_test.cc
+++ b/test/damaskthread/peer/frame_test.cc
@@ -62,7 +62,8 @@
   execute.time_left = milliseconds{1500};
   execute.max_wait = milliseconds{300};
   execute.sent_at = core::TimePoint(milliseconds{99});
-  execute.request = {"PUT", "/x?y=1", {{"Host", "h"}, {"X", "1"}}, std::string("\0\xff body", 7)};
+  execute.request = {"PUT", "/x?y=1", {{"Host", "h"}, {"X", "1"}}, {}};
+  execute.body = std::make_shared<const std::string>("\0\xff body", 7);
   return execute;
 }
 
@@ -74,7 +75,7 @@
   CHECK(execute.time_left == milliseconds{1500});
   CHECK(execute.sent_at == core::TimePoint(milliseconds{99}));
   CHECK(execute.request.headers.size() == 2);
-  CHECK(execute.request.body == std::string("\0\xff body", 7));
+  CHECK(http::view(execute.body) == std::string("\0\xff body", 7));
   CHECK(execute.repeat);
   CHECK(execute.calls_left == 3);
 
@@ -122,7 +123,7 @@
   constexpr std::size_t kLengthBytes = 4;
   std::string bytes;
   append_frame(bytes, sample_execute());
-  const std::string body = sample_execute().request.body;
+  const std::string body(http::view(sample_execute().body));
   const std::string_view frame = bytes;
   const std::string_view frame_fields = frame.substr(2 * kLengthBytes, frame.size() - 2 * kLengthBytes - body.size());
   nlohmann::json fields = nlohmann::json::from_cbor(frame_fields.begin(), frame_fields.end());
@@ -142,7 +143,7 @@
   const auto& execute = std::get<Execute>(*read_result.message);
   CHECK(execute.attempt_id == "a.b");
   CHECK(execute.calls_left == 1);
-  CHECK(execute.request.body == body);
+  CHECK(http::view(execute.body) == body);
 }
 
 TEST_CASE("a load update is small, since each daemon sends it to many others several times a second") {
@@ -186,6 +187,31 @@
   }
 }
 
+// The receiver of a frame bounds the memory of bodies; without room it must still be able to refuse the request.
+TEST_CASE("a request whose body has no room is decoded without it, and the next frame is read") {
+  std::string bytes;
+  append_frame(bytes, sample_execute());
+  append_frame(bytes, Cancel{5});
+  std::size_t asked = 0;
+  FrameReader reader([&asked](std::size_t size) -> std::optional<BodyReservation> {
+    asked = size;
+    return std::nullopt;
+  });
+  std::optional<Message> first;
+  for (const char byte : bytes) {
+    reader.add({&byte, 1});
+    if (!first) first = next(reader).message;
+  }
+  REQUIRE(first);
+  CHECK(asked == 7);
+  CHECK(std::get<Execute>(*first).body_dropped);
+  CHECK(std::get<Execute>(*first).body == nullptr);
+  CHECK(std::get<Execute>(*first).stream == sample_execute().stream);
+  const auto second = next(reader).message;
+  REQUIRE(second);
+  CHECK(std::get<Cancel>(*second).stream == 5);
+}
+
 TEST_CASE("reports and grants of the quotas keep their fields") {
   const quota::Report report = round_trip(QuotaReport{{7, 84, {{"tenant", 5, 2, 12.25}}}}).report;
   CHECK(report.sequence == 7);
