Divide a quota by the daemons that report, with reservations

A coordinator now grants the quota in proportion to the daemons that report, leaves to silent ones their part or what they have reserved, and forgets listed daemons that never report after 15 s.

--- a/src/damaskthread/peer/frame.cc
+++ b/src/damaskthread/peer/frame.cc
@@ -139,7 +139,7 @@
     for (const quota::Credit& credit : message.grant.credits) {
       credits.push_back(Json::array({credit.tenant, credit.credits, credit.exhausted}));
     }
-    return Json::array({11, message.grant.sequence, message.grant.established, std::move(credits)});
+    return Json::array({11, message.grant.sequence, message.grant.majority, std::move(credits)});
   }
 };
 
@@ -246,7 +246,7 @@
 Message decode_quota_grant(const Json& fields) {
   QuotaGrant message;
   message.grant.sequence = fields.at(1).get<std::uint64_t>();
-  message.grant.established = fields.at(2).get<bool>();
+  message.grant.majority = fields.at(2).get<bool>();
   for (const Json& credit : fields.at(3)) {
     message.grant.credits.push_back(
         {credit.at(0).get<std::string>(), credit.at(1).get<int>(), credit.at(2).get<bool>()});
--- a/src/damaskthread/quota/coordinator.cc
+++ b/src/damaskthread/quota/coordinator.cc
@@ -3,24 +3,30 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <cstddef>
 #include <utility>
 
 namespace damaskthread::quota {
 namespace {
 
+// At least this share of the daemons cannot report to two coordinators at once for long.
+constexpr double kMajority = 0.5;
+
 double to_seconds(core::Duration time) noexcept { return std::chrono::duration<double>(time).count(); }
 
 }  // namespace
 
 double Coordinator::capacity(const Bucket& bucket) const noexcept {
-  return std::max({1.0, bucket.burst, bucket.rate_per_second * to_seconds(options_.min_accrual)});
+  // Both sides of a partition together accrue one burst.
+  return std::max({1.0, reporting_share_ * bucket.burst, bucket.rate_per_second * to_seconds(options_.min_accrual)});
 }
 
 void Coordinator::set_tenants(std::span<const tenant::Tenant> tenants, core::TimePoint now) {
   const auto previous = std::exchange(buckets_, {});
   for (const tenant::Tenant& tenant : tenants) {
     if (!tenant.has_quota()) continue;
-    Bucket bucket{tenant.rate_per_second, tenant.burst, established_ ? options_.initial_credits : 0, now};
+    Bucket bucket{tenant.rate_per_second, tenant.burst, reporting_share_ >= kMajority ? options_.initial_credits : 0,
+                  now};
     if (const auto kept = previous.find(tenant.name); kept != previous.end()) {
       bucket.credits = kept->second.credits;
       bucket.updated = kept->second.updated;
@@ -30,22 +36,34 @@
   }
 }
 
-void Coordinator::sum_reservations(core::TimePoint now) {
+void Coordinator::sum_members(core::TimePoint now) {
+  std::erase_if(members_,
+                [this, now](const auto& entry) { return now - entry.second.last_report > options_.silent_time; });
   for (auto& [tenant, bucket] : buckets_) bucket.reserved_reporting = bucket.reserved_silent = 0;
+  std::size_t known = members_.size();
+  std::size_t reporting = 0;
   for (const auto& [endpoint, member] : members_) {
     const bool silent = now - member.last_report > options_.member_timeout;
+    if (!silent) ++reporting;
+    if (now - started_ < options_.discovery_time) known = std::max<std::size_t>(known, member.fleet_size);
     for (const auto& [tenant, per_second] : member.reserved_per_second) {
       const auto found = buckets_.find(tenant);
       if (found == buckets_.end()) continue;
       (silent ? found->second.reserved_silent : found->second.reserved_reporting) += per_second;
     }
   }
+  const double previous_share = std::exchange(
+      reporting_share_, static_cast<double>(reporting) / static_cast<double>(std::max<std::size_t>(1, known)));
+  if (previous_share >= kMajority || reporting_share_ < kMajority || known == 1) return;
+  for (auto& [tenant, bucket] : buckets_) {
+    bucket.credits = std::min(std::max(bucket.credits, options_.initial_credits), capacity(bucket));
+  }
 }
 
 double Coordinator::controlled_rate(const Bucket& bucket) const noexcept {
-  const double unreserved = std::max(0.0, bucket.rate_per_second - bucket.reserved_silent);
-  if (!established_) return std::min(unreserved, options_.reserved_part * bucket.reserved_reporting);
-  return std::max(0.0, unreserved - unheard_share_ * bucket.rate_per_second);
+  const double rate = bucket.rate_per_second;
+  const double left_to_others = std::max(bucket.reserved_silent, (1 - reporting_share_) * rate);
+  return std::clamp(rate - left_to_others, std::min(rate, options_.reserved_part * bucket.reserved_reporting), rate);
 }
 
 Credit Coordinator::grant(const Demand& demand, core::TimePoint now) {
@@ -74,7 +92,7 @@
 void Coordinator::restart(core::TimePoint now) {
   started_ = now;
   summed_ = {};
-  established_ = false;
+  reporting_share_ = 0;
   members_.clear();
   for (auto& [tenant, bucket] : buckets_) {
     bucket.credits = 0;
@@ -83,9 +101,6 @@
 }
 
 void Coordinator::record_report(const std::string& member, const Report& report, core::TimePoint now) {
-  std::erase_if(members_, [this, now](const auto& entry) {
-    return now - entry.second.last_report > options_.member_timeout + options_.reservation_time;
-  });
   Member& sender = members_[member];
   sender.last_report = now;
   sender.fleet_size = report.fleet_size;
@@ -95,46 +110,17 @@
   }
 }
 
-void Coordinator::update_control(core::TimePoint now) {
-  std::uint32_t known = 1;
-  std::uint32_t reporting = 0;
-  bool any_reserved = false;
-  for (const auto& [endpoint, member] : members_) {
-    any_reserved = any_reserved || !member.reserved_per_second.empty();
-    if (now - member.last_report > options_.member_timeout) continue;
-    ++reporting;
-    known = std::max(known, member.fleet_size);
-  }
-  // Silent members are reserved for one by one; the share stands for those that never reported here.
-  const double unheard = 1 - std::min(1.0, static_cast<double>(members_.size()) / known);
-  unheard_share_ = now - started_ < options_.reservation_time ? unheard : 0;
-  if (established_) {
-    established_ = reporting >= options_.losing_share * known;
-    return;
-  }
-  // A former coordinator may grant until it has noticed that its members fell silent. Without reservations there was
-  // none, as after a start of the whole fleet.
-  const core::Duration delay =
-      known == 1 ? options_.discovery_time : (any_reserved ? 2 * options_.member_timeout : core::Duration::zero());
-  if (now - started_ < delay || reporting < options_.establishing_share * known) return;
-  established_ = true;
-  for (auto& [tenant, bucket] : buckets_) {
-    bucket.credits = std::min(std::max(bucket.credits, options_.initial_credits), capacity(bucket));
-  }
-}
-
 Grant Coordinator::on_report(const std::string& member, const Report& report, core::TimePoint now) {
   if (now - last_report_ > options_.member_timeout) restart(now);
   last_report_ = now;
   record_report(member, report, now);
   if (now - summed_ >= options_.sum_interval) {
     summed_ = now;
-    sum_reservations(now);
-    update_control(now);
+    sum_members(now);
   }
   Grant answer;
   answer.sequence = report.sequence;
-  answer.established = established_;
+  answer.majority = reporting_share_ >= kMajority;
   for (const Demand& demand : report.demands) {
     Credit credit = grant(demand, now);
     if (credit.credits > 0 || credit.exhausted) answer.credits.push_back(std::move(credit));
--- a/src/damaskthread/quota/coordinator.h
+++ b/src/damaskthread/quota/coordinator.h
@@ -18,39 +18,35 @@
 namespace damaskthread::quota {
 
 struct CoordinatorOptions {
-  /// A daemon that has not reported for this time may be cut off, and a coordinator that has got no report for this
+  /// A daemon that has not reported for this time counts as silent, and a coordinator that has got no report for this
   /// time starts anew: another one has granted credits in the meantime.
   core::Duration member_timeout = std::chrono::milliseconds{600};
-  /// How long the rate reserved for a silent daemon is left to it. Longer than an ordinary partition.
-  core::Duration reservation_time = std::chrono::seconds{30};
-  /// Share of the known daemons that must report before a coordinator controls what is not reserved. Below it, daemons
-  /// that do not report may follow another coordinator. Known daemons include some that are gone.
-  double establishing_share = 0.8;
-  /// Part of the reserved rates that a coordinator without control grants. Reservations are averages that may contain a
-  /// burst, so that their sum can exceed the quota a little.
+  /// How long a silent daemon counts as one that may follow another coordinator. Longer than an ordinary partition.
+  core::Duration silent_time = std::chrono::seconds{30};
+  /// How long after its start a coordinator counts listed daemons that never reported to it. Some of them are gone for
+  /// good, so that it would never grant the whole quota otherwise.
+  core::Duration discovery_time = std::chrono::seconds{15};
+  /// Part of the reserved rates that is granted whatever the share of the fleet. Reservations are averages that may
+  /// contain a burst, so that their sum can exceed the quota a little.
   double reserved_part = 0.9;
-  /// Below this share a coordinator loses that control, since another one may gain it.
-  double losing_share = 0.5;
-  /// How often reservations are added up, which takes time in proportion to the fleet.
-  core::Duration sum_interval = std::chrono::milliseconds{50};
-  /// A daemon that knows no other one controls the whole quota after this time; until then it may not know them yet.
-  core::Duration discovery_time = std::chrono::seconds{3};
-  /// Credits of a tenant at the start, so that small tenants need not wait for the first ones to accrue.
+  /// Credits of a tenant at the start of the whole quota, so that small tenants need not wait for the first ones.
   double initial_credits = 10;
   /// Credits accrue for at least this time even if the tenant has no burst, since daemons report at intervals.
   core::Duration min_accrual = std::chrono::milliseconds{100};
   /// A tenant counts as being at its limit if the wanted credits do not accrue within this time.
   core::Duration patience = std::chrono::milliseconds{200};
+  /// How often the members and their reservations are added up, which takes time in proportion to the fleet.
+  core::Duration sum_interval = std::chrono::milliseconds{50};
 };
 
 /// @brief One token bucket for each tenant. It keeps nothing that must survive: a coordinator that takes over starts
 /// with almost empty buckets, which fill at the rate of the quota, so that the sum over a change of coordinators stays
 /// within rate and burst.
 ///
-/// Network partitions: each daemon reports the rate at which it was admitting requests; the others reserve it for that
-/// daemon when it falls silent. What nobody has reserved is granted by the established coordinator only: one that hears
-/// from most daemons. All others grant just what their members have reserved. So the coordinators on both sides never
-/// grant more than the whole quota together, wherever a tenant's requests arrive.
+/// Network partitions: a coordinator leaves to silent daemons their share of the quota by number, or the rates that
+/// they have reserved if these are larger: each daemon reports the rate at which it was admitting requests. The
+/// coordinator on the other side of a partition grants just that much. So both sides never grant more than the whole
+/// quota together, wherever a tenant's requests arrive.
 class Coordinator {
  public:
   explicit Coordinator(const CoordinatorOptions& options = {}) noexcept : options_(options) {}
@@ -62,8 +58,8 @@
   /// @return The credits that it may use.
   [[nodiscard]] Grant on_report(const std::string& member, const Report& report, core::TimePoint now);
 
-  /// @return Whether this coordinator controls the whole quota.
-  [[nodiscard]] bool established() const noexcept { return established_; }
+  /// @return Share of the known daemons that report to this coordinator.
+  [[nodiscard]] double reporting_share() const noexcept { return reporting_share_; }
 
  private:
   struct Bucket {
@@ -84,11 +80,10 @@
   [[nodiscard]] double capacity(const Bucket& bucket) const noexcept;
   /// Requests per second that this coordinator may grant.
   [[nodiscard]] double controlled_rate(const Bucket& bucket) const noexcept;
-  /// Adds up what the members have reserved of each tenant.
-  void sum_reservations(core::TimePoint now);
+  /// Adds up the members and what they have reserved of each tenant.
+  void sum_members(core::TimePoint now);
   [[nodiscard]] Credit grant(const Demand& demand, core::TimePoint now);
   void record_report(const std::string& member, const Report& report, core::TimePoint now);
-  void update_control(core::TimePoint now);
   void restart(core::TimePoint now);
 
   CoordinatorOptions options_;
@@ -97,9 +92,7 @@
   core::TimePoint started_;
   core::TimePoint summed_;
   core::TimePoint last_report_;
-  bool established_ = false;
-  /// Share of the known daemons that have not reported since the start; what they admit is unknown.
-  double unheard_share_ = 0;
+  double reporting_share_ = 0;
 };
 
 }  // namespace damaskthread::quota
--- a/src/damaskthread/quota/credit.h
+++ b/src/damaskthread/quota/credit.h
@@ -41,8 +41,8 @@
 /// The answer to a report.
 struct Grant {
   std::uint64_t sequence = 0;
-  /// The sender hears, or has heard, from nearly all daemons, so that it controls the whole quota.
-  bool established = false;
+  /// At least half of the known daemons report to the sender, so that daemons may rely on what it grants.
+  bool majority = false;
   std::vector<Credit> credits;
 };
 
--- a/src/damaskthread/quota/ledger.cc
+++ b/src/damaskthread/quota/ledger.cc
@@ -128,7 +128,7 @@
 }
 
 void Ledger::on_grant(const Grant& grant, core::TimePoint now) {
-  supervised_ = grant.established;
+  supervised_ = grant.majority;
   for (const Credit& credit : grant.credits) {
     Account* const account = find(credit.tenant);
     if (account == nullptr) continue;
--- a/src/damaskthread/quota/ledger.h
+++ b/src/damaskthread/quota/ledger.h
@@ -98,7 +98,7 @@
     core::TimePoint next_request;
     Rate arrivals;
     Rate admitted;
-    /// Average of admitted requests while an established coordinator granted the credits.
+    /// Average of admitted requests while the coordinator of a majority granted the credits.
     double reserved_per_second = 0;
   };
   struct Hash {
@@ -116,7 +116,7 @@
   core::TimePoint last_report_;
   /// When a report is due because requests wait.
   core::TimePoint shortage_report_ = core::TimePoint::max();
-  /// The last grant came from an established coordinator.
+  /// The last grant came from a coordinator of a majority.
   bool supervised_ = false;
 };
 
--- a/test/damaskthread/peer/frame_test.cc
+++ b/test/damaskthread/peer/frame_test.cc
@@ -224,7 +224,7 @@
   CHECK(report.demands.front().reserved_per_second == doctest::Approx(12.25));
   const quota::Grant grant = round_trip(QuotaGrant{{7, true, {{"tenant", 3, true}}}}).grant;
   CHECK(grant.sequence == 7);
-  CHECK(grant.established);
+  CHECK(grant.majority);
   REQUIRE(grant.credits.size() == 1);
   CHECK(grant.credits.front().credits == 3);
   CHECK(grant.credits.front().exhausted);
