--- a/src/damaskthread/quota/coordinator.h
+++ b/src/damaskthread/quota/coordinator.h
@@ -32,7 +32,7 @@
   /// Credits of a tenant at the start of the whole quota, so that small tenants need not wait for the first ones.
   double initial_credits = 10;
   /// Credits accrue for at least this time even if the tenant has no burst, since daemons report at intervals.
-  core::Duration min_accrual = std::chrono::milliseconds{100};
+  core::Duration min_accrual = std::chrono::milliseconds{200};
   /// A tenant counts as being at its limit if the wanted credits do not accrue within this time.
   core::Duration patience = std::chrono::milliseconds{200};
   /// How often the members and their reservations are added up, which takes time in proportion to the fleet.
