--- a/src/damaskthread/http/message.h
+++ b/src/damaskthread/http/message.h
@@ -33,7 +33,8 @@
 
 /// @return The bytes of a shared body.
 [[nodiscard]] inline std::string_view view(const SharedBody& body) noexcept {
-  return body == nullptr ? std::string_view() : std::string_view(*body);
+  if (body == nullptr) return {};
+  return *body;
 }
 
 struct Response {
--- a/src/damaskthread/mesh/http_listener.cc
+++ b/src/damaskthread/mesh/http_listener.cc
@@ -259,7 +259,8 @@
                                                       : a->last_activity() > b->last_activity();
     });
     if (largest == sessions_.end() || (*largest)->reading_bytes() == 0) return;
-    const std::shared_ptr<Session> session = *largest;
+    // The session leaves the set.
+    const auto session = (*largest)->shared_from_this();
     session->evict();
   }
 }
--- a/src/damaskthread/mesh/stream.h
+++ b/src/damaskthread/mesh/stream.h
@@ -87,9 +87,7 @@
   struct Chunk {
     std::string copied;
     http::SharedBody shared;
-    [[nodiscard]] std::string_view bytes() const noexcept {
-      return shared == nullptr ? std::string_view(copied) : std::string_view(*shared);
-    }
+    [[nodiscard]] std::string_view bytes() const noexcept { return shared == nullptr ? copied : *shared; }
   };
 
   void set_socket_options();
--- a/src/damaskthread/peer/frame.cc
+++ b/src/damaskthread/peer/frame.cc
@@ -339,7 +339,8 @@
     execute->body_dropped = !reservation_;
   }
   if (execute == nullptr || !execute->body_dropped) body_.reserve(body_missing_);
-  std::string_view rest = std::string_view(buffer_).substr(read_offset_);
+  std::string_view rest = buffer_;
+  rest.remove_prefix(read_offset_);
   const std::size_t available = rest.size();
   take_body_bytes(rest);
   read_offset_ += available - rest.size();
