Dispatch no waiting request after the response that closes its connection

Cause: the dispatch of a waiting request is deferred. If a further response closed the connection before that, as it does while draining, the request still ran although its caller had to send it again, and the bytes counted for the connection were never released. Change: a session that is closed drops its waiting request and rejection, and nothing is dispatched, rejected or swept afterwards; its stream is counted once among the closing ones. Dispatching a waiting request no longer clears the end of the input. Result: the new test failed before (3 requests dispatched, 6 bytes kept) and passes; test_mesh, http_listener: 17 of 17.

--- a/src/damaskthread/mesh/http_listener.cc
+++ b/src/damaskthread/mesh/http_listener.cc
@@ -131,7 +131,7 @@
   if (!memory) std::string().swap(waiting.message.body);
   const auto request = std::make_shared<CallerRequest>(std::move(waiting.message), waiting.received);
   exchanges_.push_back({request, std::nullopt, waiting.last});
-  input_ended_ = waiting.last;
+  if (waiting.last) input_ended_ = true;
   if (!memory) return record_response(request.get(), unavailable());
   request->memory = std::move(*memory);
   request->send_response_ = [weak = weak_from_this(), key = request.get()](const http::Response& response) {
@@ -142,11 +142,12 @@
 
 void Session::resume() {
   resume_pending_ = false;
-  if (!stream_->open()) return;
+  if (closed_ || !stream_->open()) return;
   if (waiting_request_ && may_dispatch(waiting_request_->message)) {
     WaitingRequest next = std::move(*waiting_request_);
     waiting_request_.reset();
     dispatch(std::move(next));
+    if (closed_) return;
   }
   if (reject_status_ && exchanges_.empty() && !waiting_request_) return reject(*reject_status_);
   if (input_ended_) return;
@@ -183,21 +184,31 @@
   const bool close = last || (listener_.draining_ && exchanges_.empty());
   stream_->write(to_bytes(response, close));
   if (!close) return true;
-  input_ended_ = true;
-  listener_.close_after_response(shared_from_this(), stream_);
+  close_after_response();
   return false;
 }
 
 void Session::reject(int status) {
   http::Response response = status == kUnavailable ? unavailable() : http::Response{status, {}, {}};
   stream_->write(to_bytes(response, true));
+  close_after_response();
+}
+
+void Session::close_after_response() {
+  closed_ = true;
+  input_ended_ = true;
+  // The caller sends these again, since they were not answered.
+  waiting_request_.reset();
+  reject_status_.reset();
+  reader_.discard();
   listener_.close_after_response(shared_from_this(), stream_);
 }
 
 void Session::close_if_idle() {
+  if (closed_) return;
   const auto self = shared_from_this();
   stream_->read_available();
-  if (idle() && stream_->open()) listener_.close_after_response(self, stream_);
+  if (idle() && !closed_) close_after_response();
 }
 
 void Session::on_end(StreamCloseReason /*reason*/) { drop(); }
@@ -205,7 +216,9 @@
 void Session::drop() {
   const auto self = shared_from_this();
   stream_->close();
+  closed_ = true;
   input_ended_ = true;
+  waiting_request_.reset();
   release_memory();
   listener_.sessions_.erase(self);
   for (const Exchange& exchange : std::exchange(exchanges_, {})) {
@@ -216,7 +229,7 @@
 }
 
 void Session::sweep(core::TimePoint now) {
-  if (!exchanges_.empty() || waiting_request_) return;
+  if (closed_ || !exchanges_.empty() || waiting_request_) return;
   const core::Duration idle_time = now - last_activity_;
   if (idle()) {
     if (idle_time > listener_.caller_limits_.idle_time) close_if_idle();
--- a/src/damaskthread/mesh/http_listener.h
+++ b/src/damaskthread/mesh/http_listener.h
@@ -112,6 +112,8 @@
   /// @return Whether the connection stays open.
   [[nodiscard]] bool send_first(const http::Response& response);
   void reject(int status);
+  /// Closes the connection after the queued responses. Requests that were not dispatched are dropped.
+  void close_after_response();
   /// Takes the bytes of a request out of the limit for requests that are read.
   /// @return The reservation of its body, or nothing if there is no room.
   [[nodiscard]] std::optional<CallerMemory::Reservation> accept_body(const http::Request& message);
@@ -130,6 +132,8 @@
   std::optional<int> reject_status_;
   /// No request is accepted any more: the last one was read, or the connection is closing.
   bool input_ended_ = false;
+  /// The listener has removed this session; nothing may be dispatched or answered any more.
+  bool closed_ = false;
   bool resume_pending_ = false;
   /// Bytes reported to the listener's memory limit.
   std::size_t reading_bytes_ = 0;
--- a/test/damaskthread/mesh/http_listener_test.cc
+++ b/test/damaskthread/mesh/http_listener_test.cc
@@ -172,6 +172,26 @@
   CHECK(fixture.received.find("second") != std::string::npos);
 }
 
+// The request ran although the response in front of it had closed the connection, and its caller sent it again.
+TEST_CASE("a waiting request is not dispatched after a response that closes the connection") {
+  HttpListenerFixture fixture;
+  CallerMemory memory(100'000);
+  fixture.listener.limit_memory(&memory);
+  fixture.answer_immediately = false;
+  fixture.listener.set_pipelining_rule([](const http::Request& request) { return request.method == "GET"; });
+  fixture.send(
+      "GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n"
+      "POST /3 HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nxGET /4");
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 2 && memory.reading() > 0; }));
+  fixture.listener.drain();
+  // The first response defers the dispatch of the waiting request; the second one closes the connection before that.
+  fixture.requests[0]->answer({200, {}, {}});
+  fixture.requests[1]->answer({200, {}, {}});
+  REQUIRE(fixture.wait([&] { return fixture.closed; }));
+  CHECK(fixture.requests.size() == 2);
+  CHECK(memory.reading() == 0);
+}
+
 // Trailers and chunk extensions have no limit of their own, and a daemon kept them until it ran out of memory.
 TEST_CASE("trailers and chunk extensions beyond the header limit are rejected") {
   for (const std::string& framing : {"0\r\nX: " + std::string(20'000, 'x'), "1;" + std::string(20'000, 'x')}) {
