Remove a connection that was reset while reading was paused

Cause: a paused stream whose write fails closes without a call to its handler. Change: after a response the session checks that its stream is open, and is dropped if it is not.

--- a/src/damaskthread/mesh/http_listener.cc
+++ b/src/damaskthread/mesh/http_listener.cc
@@ -142,7 +142,8 @@
 
 void Session::resume() {
   resume_pending_ = false;
-  if (closed_ || !stream_->open()) return;
+  if (closed_) return;
+  if (!stream_->open()) return drop();
   if (waiting_request_ && may_dispatch(waiting_request_->message)) {
     WaitingRequest next = std::move(*waiting_request_);
     waiting_request_.reset();
@@ -171,7 +172,8 @@
     if (!send_first(next)) return;
   }
   stream_->resume();
-  if (resume_pending_ || (!waiting_request_ && !reject_status_ && reader_.pending_bytes() == 0)) return;
+  const bool input_left = waiting_request_ || reject_status_ || reader_.pending_bytes() > 0;
+  if (resume_pending_ || (!input_left && stream_->open())) return;
   // Deferred, so that the handler of the answered request is not re-entered.
   resume_pending_ = true;
   asio::post(listener_.io_, [self = shared_from_this()] { self->resume(); });
--- a/src/damaskthread/mesh/stream.h
+++ b/src/damaskthread/mesh/stream.h
@@ -68,7 +68,8 @@
   void write(std::string_view bytes);
   /// @brief The same for a shared body, which is not copied.
   void write(http::SharedBody body);
-  /// @brief Stops reading until `resume`, which applies backpressure to the sender.
+  /// @brief Stops reading until `resume`, which applies backpressure to the sender. If a write fails meanwhile, the
+  /// stream closes without a call to the handler, which has to check `open` after writing.
   void pause() noexcept { paused_ = true; }
   void resume();
   /// @brief Delivers data that has already arrived, without waiting for the event loop.
--- a/test/damaskthread/mesh/http_listener_test.cc
+++ b/test/damaskthread/mesh/http_listener_test.cc
@@ -192,6 +192,31 @@
   CHECK(memory.reading() == 0);
 }
 
+// While reading is paused, only a failed write shows that the caller is gone. The session and the memory of its
+// requests were kept for good.
+TEST_CASE("a connection that is reset while reading is paused is removed with its waiting requests") {
+  HttpListenerFixture fixture;
+  CallerMemory memory(1'000'000);
+  fixture.listener.limit_memory(&memory);
+  fixture.answer_immediately = false;
+  fixture.send(
+      "GET /1 HTTP/1.1\r\nHost: x\r\n\r\nPOST /2 HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx"
+      "POST /3 HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n\r\n" +
+      std::string(150'000, 'x'));
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 1 && memory.reading() > 65'536; }));
+  fixture.socket.set_option(boost::asio::socket_base::linger(true, 0));
+  fixture.socket.close();
+  fixture.requests[0]->answer({200, {}, {}});
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+  while (fixture.listener.busy_sessions() > 0 && std::chrono::steady_clock::now() < end) {
+    fixture.io.run_for(milliseconds(2));
+    fixture.io.restart();
+  }
+  CHECK(fixture.listener.busy_sessions() == 0);
+  CHECK(memory.reading() == 0);
+  CHECK(fixture.requests.size() == 1);
+}
+
 // Trailers and chunk extensions have no limit of their own, and a daemon kept them until it ran out of memory.
 TEST_CASE("trailers and chunk extensions beyond the header limit are rejected") {
   for (const std::string& framing : {"0\r\nX: " + std::string(20'000, 'x'), "1;" + std::string(20'000, 'x')}) {
