Send 100 Continue to a pipelined request once it is first

Cause: after a response the session went on only if unparsed bytes were left. A request of which just the header had arrived got no interim response; its caller waited for it and the daemon for the body, until 408. Change: the session also goes on if part of a request was parsed.

--- a/src/damaskthread/mesh/http_listener.cc
+++ b/src/damaskthread/mesh/http_listener.cc
@@ -172,7 +172,8 @@
     if (!send_first(next)) return;
   }
   stream_->resume();
-  const bool input_left = waiting_request_ || reject_status_ || reader_.pending_bytes() > 0;
+  // Includes a request of which only the header was read, whose caller may wait for `100 Continue`.
+  const bool input_left = waiting_request_ || reject_status_ || reader_.started();
   if (resume_pending_ || (!input_left && stream_->open())) return;
   // Deferred, so that the handler of the answered request is not re-entered.
   resume_pending_ = true;
--- a/test/damaskthread/mesh/http_listener_test.cc
+++ b/test/damaskthread/mesh/http_listener_test.cc
@@ -217,6 +217,23 @@
   CHECK(fixture.requests.size() == 1);
 }
 
+// The caller waited for the interim response and the daemon for the body, until the request timed out.
+TEST_CASE("a pipelined request that expects 100-continue gets it once it is first") {
+  HttpListenerFixture fixture;
+  fixture.answer_immediately = false;
+  fixture.send(
+      "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
+      "POST /2 HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nExpect: 100-continue\r\n\r\n");
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 1; }));
+  CHECK(fixture.received.empty());
+  fixture.requests[0]->answer({200, {}, {}});
+  REQUIRE(fixture.wait([&] { return fixture.received.find(" 100 Continue") != std::string::npos; }));
+  CHECK(fixture.received.find(" 200 ") < fixture.received.find(" 100 Continue"));
+  fixture.send("hello");
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 2; }));
+  CHECK(fixture.requests[1]->request.body == "hello");
+}
+
 // Trailers and chunk extensions have no limit of their own, and a daemon kept them until it ran out of memory.
 TEST_CASE("trailers and chunk extensions beyond the header limit are rejected") {
   for (const std::string& framing : {"0\r\nX: " + std::string(20'000, 'x'), "1;" + std::string(20'000, 'x')}) {
