Count parsed headers towards the memory of callers

Change: a complete header counts as its characters and 128 bytes for each field, as reading and, once dispatched, until the request has ended. Headers above 16 KB of memory only fit into the part of the limit for large bodies. The rule for a single large body still looks at bodies only.

--- a/src/damaskthread/mesh/caller_memory.h
+++ b/src/damaskthread/mesh/caller_memory.h
@@ -14,34 +14,35 @@
 
 namespace damaskthread::mesh {
 
-/// @brief One limit for the requests that are being read and for the bodies of accepted ones. An accepted body is kept
-/// until its request has ended, so that accepted bodies may only use a part of the limit: the rest lets small requests
-/// be read. A single body that is larger than that part is accepted while no other one is held.
+/// @brief One limit for the requests that are being read and for the bodies and headers of accepted ones. They are kept
+/// until their request has ended, so that large ones may only use a part of the limit: the rest lets small requests be
+/// read. A single body that is larger than that part is accepted while no other one is held.
 ///
 /// This guards against callers that send large bodies on many connections, or start them and never end: requests that
 /// are incomplete can be rejected at any time, since none of them has run.
 class CallerMemory {
  public:
-  /// Bytes of an accepted body. Releases them when it is destroyed.
+  /// Bytes of an accepted body or header. Releases them when it is destroyed.
   class Reservation {
    public:
     Reservation() = default;
-    Reservation(CallerMemory& memory, std::size_t bytes) noexcept : memory_(&memory), bytes_(bytes) {}
+    /// @param total Sum that contains the bytes already.
+    Reservation(std::size_t& total, std::size_t bytes) noexcept : total_(&total), bytes_(bytes) {}
     Reservation(Reservation&& other) noexcept
-        : memory_(std::exchange(other.memory_, nullptr)), bytes_(std::exchange(other.bytes_, 0)) {}
+        : total_(std::exchange(other.total_, nullptr)), bytes_(std::exchange(other.bytes_, 0)) {}
     Reservation& operator=(Reservation&& other) noexcept {
-      std::swap(memory_, other.memory_);
+      std::swap(total_, other.total_);
       std::swap(bytes_, other.bytes_);
       return *this;
     }
     Reservation(const Reservation&) = delete;
     Reservation& operator=(const Reservation&) = delete;
     ~Reservation() {
-      if (memory_ != nullptr) memory_->accepted_ -= bytes_;
+      if (total_ != nullptr) *total_ -= bytes_;
     }
 
    private:
-    CallerMemory* memory_ = nullptr;
+    std::size_t* total_ = nullptr;
     std::size_t bytes_ = 0;
   };
 
@@ -51,20 +52,28 @@
   /// @brief Records that the bytes being read on a connection have changed.
   void resize_reading(std::size_t before, std::size_t after) noexcept { reading_ += after - before; }
   /// @return Whether requests that are being read have to be rejected.
-  [[nodiscard]] bool exceeded() const noexcept { return reading_ + accepted_ > limit_; }
+  [[nodiscard]] bool exceeded() const noexcept { return reading_ + accepted_ + headers_ > limit_; }
 
   /// @brief Accepts the body of a complete request.
   /// @return Its reservation, or nothing if there is no room and the request must be refused.
   [[nodiscard]] std::optional<Reservation> accept(std::size_t bytes) noexcept {
-    const bool fits = accepted_ == 0 || accepted_ + bytes <= limit_ - limit_ / kReadingPart;
-    const bool fits_as_small = bytes <= kSmallBytes && accepted_ + bytes <= limit_;
-    if (!fits && !fits_as_small) return std::nullopt;
+    if (accepted_ > 0 && !fits(bytes)) return std::nullopt;
     accepted_ += bytes;
-    return Reservation(*this, bytes);
+    return Reservation(accepted_, bytes);
+  }
+  /// @brief Accepts the parsed header of a complete request, after its body.
+  /// @return As for `accept`.
+  [[nodiscard]] std::optional<Reservation> accept_header(std::size_t bytes) noexcept {
+    if (!fits(bytes)) return std::nullopt;
+    headers_ += bytes;
+    return Reservation(headers_, bytes);
   }
 
   [[nodiscard]] std::size_t reading() const noexcept { return reading_; }
+  /// @return Bytes of accepted bodies.
   [[nodiscard]] std::size_t accepted() const noexcept { return accepted_; }
+  /// @return Bytes of accepted headers.
+  [[nodiscard]] std::size_t headers() const noexcept { return headers_; }
 
   /// Ordinary requests; they may use the part of the limit that large bodies leave for reading.
   static constexpr std::size_t kSmallBytes = std::size_t{16} << 10U;
@@ -72,9 +81,15 @@
   static constexpr std::size_t kReadingPart = 10;
 
  private:
+  [[nodiscard]] bool fits(std::size_t bytes) const noexcept {
+    const std::size_t used = accepted_ + headers_ + bytes;
+    return used <= limit_ - limit_ / kReadingPart || (bytes <= kSmallBytes && used <= limit_);
+  }
+
   std::size_t limit_;
   std::size_t reading_ = 0;
   std::size_t accepted_ = 0;
+  std::size_t headers_ = 0;
 };
 
 /// @brief Makes a body that keeps its reservation until its last holder is gone.
--- a/src/damaskthread/mesh/http_codec.cc
+++ b/src/damaskthread/mesh/http_codec.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdint>
+#include <numeric>
 #include <utility>
 
 #include "damaskthread/core/buffer.h"
@@ -21,6 +22,9 @@
 constexpr std::size_t kMaxFramingBytes = std::size_t{64} << 10U;
 // Servers normally send at most one interim response, `100 Continue`.
 constexpr int kMaxInterimResponses = 8;
+// Memory of a parsed field besides its characters: a node of the parser's list, or two strings in each of the copies
+// that the request and its execution hold.
+constexpr std::size_t kFieldOverheadBytes = 2 * sizeof(http::Header);
 constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kLastStatus = 599;
@@ -87,6 +91,7 @@
 
 void RequestReader::reset() {
   parser_ = std::make_unique<Parser>();
+  header_memory_ = 0;
   parser_->eager(true);
   parser_->header_limit(static_cast<std::uint32_t>(max_header_bytes_));
   parser_->body_limit(max_body_bytes_);
@@ -99,6 +104,12 @@
 
 ReadState RequestReader::parse_pending() {
   const ReadState state = parse(*parser_, pending_);
+  if (header_memory_ == 0 && parser_->is_header_done()) {
+    header_memory_ = parser_->get().target().size();
+    for (const auto& field : parser_->get()) {
+      header_memory_ += kFieldOverheadBytes + field.name_string().size() + field.value().size();
+    }
+  }
   // Behind the header only chunk sizes with their extensions and trailers stay unparsed; they have no limit of their
   // own.
   const bool framing_too_large =
@@ -112,7 +123,9 @@
 }
 
 bool RequestReader::started() const noexcept { return parser_->got_some() || !pending_.empty(); }
-std::size_t RequestReader::held_bytes() const noexcept { return pending_.size() + parser_->get().body().size(); }
+std::size_t RequestReader::held_bytes() const noexcept {
+  return pending_.size() + header_memory_ + parser_->get().body().size();
+}
 bool RequestReader::header_complete() const noexcept { return parser_->is_header_done(); }
 
 bool RequestReader::expects_continue() const {
@@ -132,6 +145,13 @@
   return request;
 }
 
+std::size_t header_memory(const http::Request& request) noexcept {
+  return std::accumulate(request.headers.begin(), request.headers.end(), request.target.size(),
+                         [](std::size_t total, const http::Header& header) {
+                           return total + kFieldOverheadBytes + header.name.size() + header.value.size();
+                         });
+}
+
 ResponseReader::ResponseReader(std::size_t max_body_bytes) : max_body_bytes_(max_body_bytes) { reset(); }
 ResponseReader::~ResponseReader() = default;
 
--- a/src/damaskthread/mesh/http_codec.h
+++ b/src/damaskthread/mesh/http_codec.h
@@ -39,7 +39,7 @@
   [[nodiscard]] bool keep_alive() const noexcept { return keep_alive_; }
   /// @return Bytes received but not yet parsed.
   [[nodiscard]] std::size_t pending_bytes() const noexcept { return pending_.size(); }
-  /// @return Bytes buffered for requests that were not taken yet.
+  /// @return Memory of requests that were not taken yet.
   [[nodiscard]] std::size_t held_bytes() const noexcept;
   /// @brief Drops all that was received.
   void discard();
@@ -52,9 +52,15 @@
   std::size_t max_body_bytes_;
   std::unique_ptr<Parser> parser_;
   std::string pending_;
+  /// Memory of the parsed header; 0 until it is complete.
+  std::size_t header_memory_ = 0;
   bool keep_alive_ = true;
 };
 
+/// @return Approximate memory of the parsed header of a request, which is a multiple of its bytes if its fields are
+/// short.
+[[nodiscard]] std::size_t header_memory(const http::Request& request) noexcept;
+
 /// Maximum body size of a response. A response is buffered until it is complete, so that a partial one is never taken
 /// for a complete one; a server that writes without end must not exhaust the daemon's memory.
 inline constexpr std::size_t kMaxResponseBytes = std::size_t{16} << 20U;
--- a/src/damaskthread/mesh/http_listener.cc
+++ b/src/damaskthread/mesh/http_listener.cc
@@ -60,7 +60,8 @@
 
 void Session::update_memory() {
   if (listener_.memory_ == nullptr || input_ended_) return;
-  const std::size_t waiting = waiting_request_ ? waiting_request_->message.body.size() : 0;
+  const std::size_t waiting =
+      waiting_request_ ? waiting_request_->message.body.size() + header_memory(waiting_request_->message) : 0;
   const std::size_t before = std::exchange(reading_bytes_, reader_.held_bytes() + waiting);
   listener_.memory_->resize_reading(before, reading_bytes_);
   listener_.enforce_memory_limit();
@@ -80,11 +81,17 @@
   if (listener_.memory_ != nullptr) listener_.memory_->resize_reading(bytes, 0);
 }
 
-std::optional<CallerMemory::Reservation> Session::accept_body(const http::Request& message) {
-  if (listener_.memory_ == nullptr) return CallerMemory::Reservation();
+bool Session::reserve_memory(CallerRequest& request) {
+  if (listener_.memory_ == nullptr) return true;
   const std::size_t read = std::exchange(reading_bytes_, reader_.held_bytes());
   listener_.memory_->resize_reading(read, reading_bytes_);
-  return listener_.memory_->accept(message.body.size());
+  auto body = listener_.memory_->accept(request.request.body.size());
+  if (!body) return false;
+  auto header = listener_.memory_->accept_header(header_memory(request.request));
+  if (!header) return false;
+  request.memory = std::move(*body);
+  request.header_memory = std::move(*header);
+  return true;
 }
 
 void Session::process(ReadState state) {
@@ -127,13 +134,13 @@
 }
 
 void Session::dispatch(WaitingRequest&& waiting) {
-  auto memory = accept_body(waiting.message);
-  if (!memory) std::string().swap(waiting.message.body);
   const auto request = std::make_shared<CallerRequest>(std::move(waiting.message), waiting.received);
   exchanges_.push_back({request, std::nullopt, waiting.last});
   if (waiting.last) input_ended_ = true;
-  if (!memory) return record_response(request.get(), unavailable());
-  request->memory = std::move(*memory);
+  if (!reserve_memory(*request)) {
+    request->request = {};
+    return record_response(request.get(), unavailable());
+  }
   request->send_response_ = [weak = weak_from_this(), key = request.get()](const http::Response& response) {
     if (const auto self = weak.lock()) self->record_response(key, response);
   };
--- a/src/damaskthread/mesh/http_listener.h
+++ b/src/damaskthread/mesh/http_listener.h
@@ -43,6 +43,8 @@
   core::TimePoint received;
   /// Memory of the body in `request`; empty if the listener has no limit.
   CallerMemory::Reservation memory;
+  /// The same for its header.
+  CallerMemory::Reservation header_memory;
 
  private:
   friend class Session;
@@ -114,9 +116,9 @@
   void reject(int status);
   /// Closes the connection after the queued responses. Requests that were not dispatched are dropped.
   void close_after_response();
-  /// Takes the bytes of a request out of the limit for requests that are read.
-  /// @return The reservation of its body, or nothing if there is no room.
-  [[nodiscard]] std::optional<CallerMemory::Reservation> accept_body(const http::Request& message);
+  /// Takes the bytes of a request out of the limit for requests that are read, and reserves them for its run.
+  /// @return Whether there is room.
+  [[nodiscard]] bool reserve_memory(CallerRequest& request);
   /// Reports the bytes being read, and lets the listener reject the largest requests if they exceed the limit.
   void update_memory();
 
--- a/test/damaskthread/mesh/http_listener_test.cc
+++ b/test/damaskthread/mesh/http_listener_test.cc
@@ -234,6 +234,37 @@
   CHECK(fixture.requests[1]->request.body == "hello");
 }
 
+// A header of many short fields takes many times its size once it is parsed. Only bodies and unparsed bytes counted,
+// so that callers could exhaust the memory with headers behind which a body never ends.
+TEST_CASE("the memory of parsed headers counts until the request has ended") {
+  HttpListenerFixture fixture;
+  CallerMemory memory(1'000'000);
+  fixture.listener.limit_memory(&memory);
+  constexpr std::size_t kFields = 2'000;
+  // Each field is at least two strings in a list.
+  constexpr std::size_t kMinBytes = kFields * sizeof(http::Header);
+  std::string head = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n";
+  for (std::size_t i = 0; i < kFields; ++i) head += "a:b\r\n";
+  fixture.send(head + "\r\nx");
+  REQUIRE(fixture.wait([&] { return memory.reading() > 0; }));
+  CHECK(memory.reading() >= kMinBytes);
+  std::vector<Tcp::socket> others;
+  for (int i = 0; i < 20; ++i) {
+    others.emplace_back(fixture.io);
+    others.back().connect({boost::asio::ip::make_address("127.0.0.1"), fixture.listener.port()});
+    boost::asio::write(others.back(), boost::asio::buffer(head + "\r\nx"));
+    fixture.io.run_for(milliseconds(5));
+    fixture.io.restart();
+    CHECK(memory.reading() <= 1'000'000);
+  }
+  boost::asio::write(others.back(), boost::asio::buffer(std::string("y")));
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 1; }));
+  CHECK(memory.headers() >= kMinBytes);
+  fixture.requests.clear();
+  CHECK(memory.headers() == 0);
+  CHECK(memory.accepted() == 0);
+}
+
 // Trailers and chunk extensions have no limit of their own, and a daemon kept them until it ran out of memory.
 TEST_CASE("trailers and chunk extensions beyond the header limit are rejected") {
   for (const std::string& framing : {"0\r\nX: " + std::string(20'000, 'x'), "1;" + std::string(20'000, 'x')}) {
