--- a/test/damaskthread/mesh/http_listener_test.cc
+++ b/test/damaskthread/mesh/http_listener_test.cc
@@ -172,6 +172,99 @@
   CHECK(fixture.received.find("second") != std::string::npos);
 }
 
+// The request ran although the response in front of it had closed the connection, and its caller sent it again.
+TEST_CASE("a waiting request is not dispatched after a response that closes the connection") {
+  HttpListenerFixture fixture;
+  CallerMemory memory(100'000);
+  fixture.listener.limit_memory(&memory);
+  fixture.answer_immediately = false;
+  fixture.listener.set_pipelining_rule([](const http::Request& request) { return request.method == "GET"; });
+  fixture.send(
+      "GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n"
+      "POST /3 HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nxGET /4");
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 2 && memory.reading() > 0; }));
+  fixture.listener.drain();
+  // The first response defers the dispatch of the waiting request; the second one closes the connection before that.
+  fixture.requests[0]->answer({200, {}, {}});
+  fixture.requests[1]->answer({200, {}, {}});
+  REQUIRE(fixture.wait([&] { return fixture.closed; }));
+  CHECK(fixture.requests.size() == 2);
+  CHECK(memory.reading() == 0);
+}
+
+// While reading is paused, only a failed write shows that the caller is gone. The session and the memory of its
+// requests were kept for good.
+TEST_CASE("a connection that is reset while reading is paused is removed with its waiting requests") {
+  HttpListenerFixture fixture;
+  CallerMemory memory(1'000'000);
+  fixture.listener.limit_memory(&memory);
+  fixture.answer_immediately = false;
+  fixture.send(
+      "GET /1 HTTP/1.1\r\nHost: x\r\n\r\nPOST /2 HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx"
+      "POST /3 HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n\r\n" +
+      std::string(150'000, 'x'));
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 1 && memory.reading() > 65'536; }));
+  fixture.socket.set_option(boost::asio::socket_base::linger(true, 0));
+  fixture.socket.close();
+  fixture.requests[0]->answer({200, {}, {}});
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+  while (fixture.listener.busy_sessions() > 0 && std::chrono::steady_clock::now() < end) {
+    fixture.io.run_for(milliseconds(2));
+    fixture.io.restart();
+  }
+  CHECK(fixture.listener.busy_sessions() == 0);
+  CHECK(memory.reading() == 0);
+  CHECK(fixture.requests.size() == 1);
+}
+
+// The caller waited for the interim response and the daemon for the body, until the request timed out.
+TEST_CASE("a pipelined request that expects 100-continue gets it once it is first") {
+  HttpListenerFixture fixture;
+  fixture.answer_immediately = false;
+  fixture.send(
+      "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
+      "POST /2 HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nExpect: 100-continue\r\n\r\n");
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 1; }));
+  CHECK(fixture.received.empty());
+  fixture.requests[0]->answer({200, {}, {}});
+  REQUIRE(fixture.wait([&] { return fixture.received.find(" 100 Continue") != std::string::npos; }));
+  CHECK(fixture.received.find(" 200 ") < fixture.received.find(" 100 Continue"));
+  fixture.send("hello");
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 2; }));
+  CHECK(fixture.requests[1]->request.body == "hello");
+}
+
+// A header of many short fields takes many times its size once it is parsed. Only bodies and unparsed bytes counted,
+// so that callers could exhaust the memory with headers behind which a body never ends.
+TEST_CASE("the memory of parsed headers counts until the request has ended") {
+  HttpListenerFixture fixture;
+  CallerMemory memory(1'000'000);
+  fixture.listener.limit_memory(&memory);
+  constexpr std::size_t kFields = 2'000;
+  // Each field is at least two strings in a list.
+  constexpr std::size_t kMinBytes = kFields * sizeof(http::Header);
+  std::string head = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n";
+  for (std::size_t i = 0; i < kFields; ++i) head += "a:b\r\n";
+  fixture.send(head + "\r\nx");
+  REQUIRE(fixture.wait([&] { return memory.reading() > 0; }));
+  CHECK(memory.reading() >= kMinBytes);
+  std::vector<Tcp::socket> others;
+  for (int i = 0; i < 20; ++i) {
+    others.emplace_back(fixture.io);
+    others.back().connect({boost::asio::ip::make_address("127.0.0.1"), fixture.listener.port()});
+    boost::asio::write(others.back(), boost::asio::buffer(head + "\r\nx"));
+    fixture.io.run_for(milliseconds(5));
+    fixture.io.restart();
+    CHECK(memory.reading() <= 1'000'000);
+  }
+  boost::asio::write(others.back(), boost::asio::buffer(std::string("y")));
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 1; }));
+  CHECK(memory.headers() >= kMinBytes);
+  fixture.requests.clear();
+  CHECK(memory.headers() == 0);
+  CHECK(memory.accepted() == 0);
+}
+
 // Trailers and chunk extensions have no limit of their own, and a daemon kept them until it ran out of memory.
 TEST_CASE("trailers and chunk extensions beyond the header limit are rejected") {
   for (const std::string& framing : {"0\r\nX: " + std::string(20'000, 'x'), "1;" + std::string(20'000, 'x')}) {
