--- a/test/platform/adapter_test.cc
+++ b/test/platform/adapter_test.cc
@@ -177,6 +177,24 @@
   }
 }
 
+// The JSON library quotes the text in front of a syntax error, which put keys into the logs of all daemons.
+TEST_CASE("the error of a malformed configuration gives the place and none of the text") {
+  std::string message;
+  const auto table = boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<bool> {
+        BOOST_LEAF_CHECK(parse_configuration(R"({"version":1,"tenants":[{"name":"t","api_keys":["key-1]}]})"));
+        return true;
+      },
+      [&](const core::Error& error) {
+        message = error.message;
+        return false;
+      },
+      [] { return false; });
+  CHECK(!table);
+  CHECK_MESSAGE(message.find("key-") == std::string::npos, message);
+  CHECK_MESSAGE(message.find("byte ") != std::string::npos, message);
+}
+
 TEST_CASE("records of a keyed topic are decoded from any offset and a truncated one is left for the next read") {
   const StoreAdapter adapter;
   std::string body(16, '\0');
