--- a/test/platform/adapter_test.cc
+++ b/test/platform/adapter_test.cc
@@ -195,6 +195,20 @@
   CHECK_MESSAGE(message.find("byte ") != std::string::npos, message);
 }
 
+// A null in a field that earlier versions ignored made a daemon refuse the configuration.
+TEST_CASE("optional fields of routes and tenants may be null") {
+  std::string document = replace_first(kConfiguration, "\"max_attempts\":2", "\"max_attempts\":2,\"public\":null");
+  document =
+      replace_first(document, "\"virtual_hosts\":",
+                    R"("tenants":[{"name":"t","api_keys":["k"],"rate_per_s":null,"burst":null}],"virtual_hosts":)");
+  const auto table = value_or_null(parse_configuration(document));
+  REQUIRE(table);
+  REQUIRE((*table)->find("h.example", "/x/1") != nullptr);
+  CHECK(!(*table)->find("h.example", "/x/1")->is_public);
+  REQUIRE((*table)->tenants().find_by_name("t") != nullptr);
+  CHECK(!(*table)->tenants().find_by_name("t")->has_quota());
+}
+
 TEST_CASE("records of a keyed topic are decoded from any offset and a truncated one is left for the next read") {
   const StoreAdapter adapter;
   std::string body(16, '\0');
