Refuse tenant names with control characters

Servers get the name as the value of a header, in which a line break starts another header. Such a configuration is now refused with the place of the name.

The test failed before and passes now.

--- a/src/damaskthread/tenant/directory.cc
+++ b/src/damaskthread/tenant/directory.cc
@@ -1,5 +1,6 @@
 #include "damaskthread/tenant/directory.h"
 
+#include <algorithm>
 #include <boost/leaf/error.hpp>
 #include <cmath>
 #include <utility>
@@ -16,6 +17,14 @@
       core::Error{core::ErrorCode::kInvalidInput, "tenants[" + std::to_string(index) + "]." + field, message});
 }
 
+// Servers get the name as the value of a header.
+bool is_header_value(std::string_view text) noexcept {
+  return std::none_of(text.begin(), text.end(), [](char letter) {
+    const auto code = static_cast<unsigned char>(letter);
+    return code < ' ' || code == 0x7f;
+  });
+}
+
 bool is_limit(double value) noexcept { return std::isfinite(value) && value >= 0; }
 
 }  // namespace
@@ -27,6 +36,7 @@
     Declaration& declaration = declarations[i];
     Tenant& tenant = declaration.tenant;
     if (tenant.name.empty()) return invalid(i, "name", "must not be empty");
+    if (!is_header_value(tenant.name)) return invalid(i, "name", "contains a control character");
     if (!directory.index_by_name_.emplace(tenant.name, i).second) return invalid(i, "name", "is used twice");
     if (!is_limit(tenant.rate_per_second)) return invalid(i, "rate_per_second", "must not be negative");
     if (!is_limit(tenant.burst)) return invalid(i, "burst", "must not be negative");
--- a/test/damaskthread/tenant/directory_test.cc
+++ b/test/damaskthread/tenant/directory_test.cc
@@ -54,6 +54,8 @@
       {{declare("a", {"secret"}), declare("b", {"secret"})}, "tenants[1].keys"},
       {{declare("", {"secret"})}, "tenants[0].name"},
       {{declare("a", {}), declare("a", {})}, "tenants[1].name"},
+      // Servers get the name in a header, where a line break would start another one.
+      {{declare("a\r\nX-Admin: 1", {"secret"})}, "tenants[0].name"},
       {{declare("a", {""})}, "tenants[0].keys"},
       {{declare("a", {std::string(kMaxKeyBytes + 1, 'x')})}, "tenants[0].keys"},
       {{declare("a", {"secret"}, -1)}, "tenants[0].rate_per_second"}};
