Bound the work time that another daemon reports

A figure far above the 10,000 percent that a daemon takes over from its server got into the moving average of the pool, which then kept requests away from that server for good. The decoder now applies the same bound.

The test failed before (1e6 was decoded) and passes now.

--- a/src/damaskthread/peer/frame.cc
+++ b/src/damaskthread/peer/frame.cc
@@ -23,6 +23,8 @@
 constexpr bool kUnusedField = false;
 constexpr double kDemandScale = 10;
 constexpr double kPercent = 100;
+// The largest work time that a daemon takes over from its server.
+constexpr double kMaxWorkTimePercent = 10'000;
 // Reserved rates are encoded in hundredths of a request per second.
 constexpr double kReservedScale = 100;
 constexpr std::size_t kLengthBytes = 4;
@@ -79,7 +81,7 @@
   gate::Load load{value.at(0).get<int>(), value.at(1).get<int>(), value.at(2).get<int>(), from_us(value.at(3)),
                   value.at(4).get<double>() / kDemandScale};
   if (value.size() > 6) {
-    load.work_time = std::max(1.0, value.at(5).get<double>()) / kPercent;
+    load.work_time = std::min(std::max(1.0, value.at(5).get<double>()), kMaxWorkTimePercent) / kPercent;
     load.pace = std::clamp(value.at(6).get<double>() / kPercent, 1 / kPercent, 1.0);
   }
   return load;
--- a/test/damaskthread/peer/frame_test.cc
+++ b/test/damaskthread/peer/frame_test.cc
@@ -152,6 +152,13 @@
   CHECK(bytes.size() <= 40);
 }
 
+// The mean work time of a server would not recover from such a figure.
+TEST_CASE("a work time from another daemon is bounded") {
+  LoadUpdate load_update{9, {37, 36, 5, std::chrono::microseconds{55}}};
+  load_update.load.work_time = 1e6;
+  CHECK(round_trip(load_update).load.work_time == 100);
+}
+
 TEST_CASE("messages are decoded from any split of the stream") {
   CHECK(rc::check([](const std::vector<std::uint8_t>& piece_sizes) {
     std::string bytes;
