Pass on the tenant whatever Connection names, and to nested calls

The Connection header of a caller may name the header of the tenant; the removal of hop-by-hop headers came after the daemon had added it, so that the server got no tenant. The credentials are now replaced after that removal. The server of a nested call got no tenant either, although such a call is identified by the request that made it: it now gets the name that the request carried, if the configuration still has it.

Both tests failed before (no tenant reached the server) and pass now.

--- a/src/damaskthread/mesh/ingress.cc
+++ b/src/damaskthread/mesh/ingress.cc
@@ -125,6 +125,10 @@
     exchange->response_deadline = std::min(exchange->response_deadline, caller->received + route->timeout);
   }
   http::remove_hop_by_hop(caller->request.headers);
+  // Afterwards, since the Connection header of a caller may name the header of the tenant.
+  if (!table_->tenants().empty()) {
+    tenant::replace_credentials(caller->request.headers, names.credentials, names.tenant, exchange->tenant);
+  }
   exchange->body = make_shared_body(std::move(caller->request.body), std::move(caller->memory));
   exchanges_.emplace(exchange->number, exchange);
   caller->on_disconnect([this, exchange] {
@@ -187,7 +191,7 @@
   const tenant::Directory& tenants = exchange.table->tenants();
   if (tenants.empty()) return true;
   const HeaderNames& names = dependencies_.adapter.headers();
-  http::Headers& headers = exchange.caller->request.headers;
+  const http::Headers& headers = exchange.caller->request.headers;
   const tenant::Access access =
       tenant::check_access(tenants, headers, names.credentials, {exchange.route->is_public, exchange.inner});
   if (!access.allowed) return false;
@@ -195,7 +199,7 @@
   if (access.tenant != nullptr && !exchange.inner) {
     exchange.priority = access.tenant->priority.value_or(exchange.priority);
   }
-  tenant::replace_credentials(headers, names.credentials, names.tenant, access.tenant);
+  if (exchange.tenant == nullptr && exchange.inner) exchange.tenant = tenants.find_by_name(exchange.parent_tenant);
   return true;
 }
 
@@ -214,6 +218,7 @@
   exchange.priority = std::min(parent->priority, exchange.priority);
   exchange.repeat = parent->repeat;
   exchange.calls_left = parent->calls_left;
+  exchange.parent_tenant = parent->tenant;
   dependencies_.graph.record_call(parent->kind, exchange.route->name, true, now);
 }
 
--- a/src/damaskthread/mesh/ingress.h
+++ b/src/damaskthread/mesh/ingress.h
@@ -95,6 +95,8 @@
     bool inner = false;
     /// Attempt id of the request that made the call.
     std::string parent_id;
+    /// Tenant of the request that made the call; empty if none.
+    std::string parent_tenant;
     /// The last server failed the request because a nested call was refused for lack of capacity.
     bool call_refused = false;
     /// Priority of the external request at the root of the call tree; 0 is the most important.
--- a/src/damaskthread/mesh/local_executor.cc
+++ b/src/damaskthread/mesh/local_executor.cc
@@ -325,7 +325,8 @@
   const Run& run = *found->second;
   // The call of the run itself is one of the calls that its tree has left.
   const int calls_left = run.execute.calls_left - 1 + progress_.calls_left(run.execute.kind, run.served_calls);
-  return ParentRequest{run.execute.kind, run.execute.priority, run.execute.repeat, calls_left};
+  return ParentRequest{run.execute.kind, run.execute.priority, run.execute.repeat, calls_left,
+                       std::string(http::find(run.execute.request.headers, adapter_.headers().tenant))};
 }
 
 void LocalExecutor::record_served_call(std::string_view attempt_id) {
--- a/src/damaskthread/mesh/local_executor.h
+++ b/src/damaskthread/mesh/local_executor.h
@@ -90,6 +90,8 @@
     bool repeat = false;
     /// Expected number of calls that the call tree still has to make, the next one included.
     int calls_left = 1;
+    /// Name of its tenant, as the server got it; empty if it has none.
+    std::string tenant;
   };
   /// @brief Finds the running request with an attempt id.
   [[nodiscard]] std::optional<ParentRequest> running_attempt(std::string_view attempt_id) const;
--- a/test/damaskthread/mesh/ingress_test.cc
+++ b/test/damaskthread/mesh/ingress_test.cc
@@ -161,6 +161,46 @@
   CHECK(http::find(fixture.server.requests[0].headers, "Credentials").empty());
 }
 
+// The Connection header of a caller removed the tenant that the daemon had added.
+TEST_CASE("a caller cannot remove the tenant by naming it in the Connection header") {
+  IngressFixture fixture(true);
+  fixture.server.script = [](const http::Request&, ScriptedServer::Connection& connection) {
+    connection.write(answer(200));
+  };
+  fixture.set_tenants({{{"a", std::nullopt, 0, 0}, {"secret"}}});
+  CHECK(fixture.send_request("Credentials: Bearer secret\r\nConnection: Tenant\r\n").starts_with("HTTP/1.1 200"));
+  REQUIRE(fixture.server.requests.size() == 1);
+  CHECK(http::find(fixture.server.requests[0].headers, "Tenant") == "a");
+}
+
+// The server of a nested call did not learn for which tenant it works.
+TEST_CASE("a nested call without a key carries the tenant of the request that made it") {
+  IngressFixture fixture(true);
+  std::shared_ptr<CallerRequest> nested;
+  fixture.server.script = [&](const http::Request& request, ScriptedServer::Connection& connection) {
+    if (http::find(request.headers, "Attempt") != "a") {
+      connection.write("HTTP/1.1 200 X\r\nAttempt: a/1\r\nSeal: x\r\nContent-Length: 0\r\n\r\n");
+      return;
+    }
+    http::Request call;
+    call.method = "GET";
+    call.target = "/x";
+    call.headers = {{"Host", "h.example"}, {"Attempt", "a/1"}, {"Time-Left", "2000"}, {"Tenant", "b"}};
+    nested = std::make_shared<CallerRequest>(std::move(call), now());
+    fixture.ingress.handle(nested);
+    connection.write(answer(200));
+  };
+  fixture.set_tenants({{{"a", std::nullopt, 0, 0}, {"secret"}}, {{"b", std::nullopt, 0, 0}, {"other"}}});
+  CHECK(fixture.send_request("Credentials: Bearer secret\r\n").starts_with("HTTP/1.1 200"));
+  const auto end = std::chrono::steady_clock::now() + kTestTimeout;
+  while (fixture.server.requests.size() < 2 && std::chrono::steady_clock::now() < end) {
+    fixture.io.run_for(milliseconds(2));
+    fixture.io.restart();
+  }
+  REQUIRE(fixture.server.requests.size() == 2);
+  CHECK(http::find(fixture.server.requests[1].headers, "Tenant") == "a");
+}
+
 // A connection outlives the key that its first requests carried.
 TEST_CASE("a key that a new configuration no longer contains is refused on an open connection") {
   IngressFixture fixture(true);
