Let a reported work time expire after three seconds

Only responses report the work time. A server that was slow at its last response stayed avoided, got no request and so never reported a better figure; its daemon repeated the old one in each load update as if it were new.

The test failed before (2.5 after 30 s) and passes now.

--- a/src/damaskthread/mesh/local_executor.cc
+++ b/src/damaskthread/mesh/local_executor.cc
@@ -45,6 +45,9 @@
 constexpr double kUntrackedSmoothing = 0.1;
 // A daemon that starts beside a server older than this does not ramp it up.
 constexpr core::Duration kRecentStart = seconds{5};
+// An older report tells nothing about a VM. Servers with requests report in every response; without this limit a server
+// that was slow at its last response would stay avoided and never report again.
+constexpr core::Duration kWorkTimeLifetime = seconds{3};
 constexpr int kFirstFailureStatus = 300;
 constexpr int kMisdirected = 421;
 
@@ -295,6 +298,7 @@
 gate::Load LocalExecutor::load(core::TimePoint now) const noexcept {
   gate::Load load = gate_.load(now);
   if (ramps_up()) load.pace = ramp_up_.share(now);
+  if (now - work_time_reported_at_ > kWorkTimeLifetime) load.work_time = 1;
   return load;
 }
 
@@ -305,6 +309,7 @@
   if (!reported) return;
   if (reported->work_time) {
     reports_work_time_ = true;
+    work_time_reported_at_ = now();
     gate_.set_work_time(*reported->work_time);
   }
   // The reported load may lag, so an excess over the executor's own count is smoothed; a decrease applies at once.
--- a/src/damaskthread/mesh/local_executor.h
+++ b/src/damaskthread/mesh/local_executor.h
@@ -172,6 +172,8 @@
   pace::RampUp ramp_up_;
   /// The server reports the work time of its VM.
   bool reports_work_time_ = false;
+  /// Time of the last report of the work time.
+  core::TimePoint work_time_reported_at_;
   retry::RepeatBudget budget_;
   retry::CallProgress progress_;
   ServerConnections connections_;
--- a/test/damaskthread/mesh/local_executor_test.cc
+++ b/test/damaskthread/mesh/local_executor_test.cc
@@ -542,6 +542,16 @@
   CHECK(calls_left == std::vector<int>{7, 6, 5});
 }
 
+// Without requests there is no newer value, so that a server whose VM was slow once would stay avoided.
+TEST_CASE("a reported work time expires") {
+  ExecutorFixture fixture;
+  fixture.server.script = [](const http::Request& request, ScriptedServer::Connection& connection) {
+    connection.write(answer(request, "", "Load: 1,0,10,250\r\n"));
+  };
+  CHECK(fixture.execute_and_wait(ExecutorFixture::request(1)).load.work_time == doctest::Approx(2.5));
+  CHECK(fixture.executor.load(now() + seconds(30)).work_time == 1);
+}
+
 TEST_CASE("a rejection by the server with free slots leaves no demand") {
   ExecutorFixture fixture;
   bool reject = false;
