Start no ramp for a server with a start time in the future

After its clock was set back, a server that had been running for long counted as just started whenever its daemon was restarted. The subtraction could also overflow with extreme values from the wire.

--- a/src/damaskthread/mesh/local_executor.cc
+++ b/src/damaskthread/mesh/local_executor.cc
@@ -471,9 +471,12 @@
 
 bool LocalExecutor::is_recent_start(const gate::ServerHeartbeat& heartbeat) {
   // The times of day of the server and the daemon are those of one VM.
-  const auto wall = std::chrono::system_clock::now().time_since_epoch();
-  const auto age = std::chrono::duration_cast<milliseconds>(wall) - milliseconds(heartbeat.started_at_ms);
-  return heartbeat.started_at_ms == 0 ? heartbeat.sequence <= 1 : age < kRecentStart;
+  if (heartbeat.started_at_ms == 0) return heartbeat.sequence <= 1;
+  const auto wall = std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+  const auto tolerance = std::chrono::duration_cast<milliseconds>(kRecentStart);
+  // A start in the future comes from a clock that was set back; how long the server has been running is not known.
+  const milliseconds started(heartbeat.started_at_ms);
+  return started > wall - tolerance && started < wall + tolerance;
 }
 
 void LocalExecutor::start_ramp(const gate::ServerHeartbeat& heartbeat, core::TimePoint now) {
--- a/test/damaskthread/mesh/local_executor_test.cc
+++ b/test/damaskthread/mesh/local_executor_test.cc
@@ -552,6 +552,31 @@
   CHECK(fixture.executor.load(now() + seconds(30)).work_time == 1);
 }
 
+// After a step of the clock a server that runs for long has a start time in the future.
+TEST_CASE("a server with a start time in the future does not ramp up") {
+  ExecutorFixture fixture;
+  fixture.server.script = [](const http::Request& request, ScriptedServer::Connection& connection) {
+    connection.write(answer(request, "", "Load: 1,0,10,100\r\n"));
+  };
+  const auto wall = std::chrono::system_clock::now().time_since_epoch();
+  gate::ServerHeartbeat heartbeat = fixture.heartbeat(1000);
+  heartbeat.started_at_ms = std::chrono::duration_cast<milliseconds>(wall + std::chrono::hours(1)).count();
+  REQUIRE(fixture.executor.on_heartbeat(heartbeat));
+  CHECK(fixture.execute_and_wait(ExecutorFixture::request(1)).load.pace == 1);
+}
+
+TEST_CASE("a server that has just started ramps up") {
+  ExecutorFixture fixture;
+  fixture.server.script = [](const http::Request& request, ScriptedServer::Connection& connection) {
+    connection.write(answer(request, "", "Load: 1,0,10,100\r\n"));
+  };
+  const auto wall = std::chrono::system_clock::now().time_since_epoch();
+  gate::ServerHeartbeat heartbeat = fixture.heartbeat(1);
+  heartbeat.started_at_ms = std::chrono::duration_cast<milliseconds>(wall).count();
+  REQUIRE(fixture.executor.on_heartbeat(heartbeat));
+  CHECK(fixture.execute_and_wait(ExecutorFixture::request(1)).load.pace < 1);
+}
+
 TEST_CASE("a rejection by the server with free slots leaves no demand") {
   ExecutorFixture fixture;
   bool reject = false;
