Watch on only in the era in which the offset was read

If the status of another daemon told of the restored store first, the era of the watch's own response was no longer new, and the watch went on at its former offset. A configuration written under a reassigned lower offset was missed. The client now compares with the era in which it read the offset.

--- a/src/damaskthread/mesh/store_client.cc
+++ b/src/damaskthread/mesh/store_client.cc
@@ -148,14 +148,13 @@
   log_.line(LogClass::kStateChange, "store", {{"reachable", reachable}, {"status", status}});
 }
 
-bool StoreClient::observe_era(const http::Response& response) {
+std::uint64_t StoreClient::observe_era(const http::Response& response) {
   const std::string_view text = http::find(response.headers, adapter_.headers().store_era);
   std::uint64_t era = 0;
   const auto parsed = std::from_chars(text.data(), text.data() + text.size(), era);
-  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) return false;
-  const std::uint64_t previous = era_;
+  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) return 0;
   observe_era(era);
-  return previous != 0 && era > previous;
+  return era;
 }
 
 void StoreClient::observe_era(std::uint64_t era) {
@@ -186,7 +185,7 @@
   watch_idle_ = false;
   watch_.call(adapter_.newest(Topic::kConfiguration, ""), kCallTimeout, [this](const http::Response& response) {
     log_reachability(response.status != 0, response.status);
-    observe_era(response);
+    const std::uint64_t era = observe_era(response);
     const auto page = response.status == kOk
                           ? value_or_log_error(adapter_.parse_newest(response), log_, "newest configuration")
                           : std::nullopt;
@@ -194,6 +193,7 @@
     watch_.reset_backoff();
     last_watch_succeeded_ = true;
     next_offset_ = page->end;
+    offset_era_ = era;
     deliver_configuration(page->records);
     watch_configuration();
   });
@@ -208,8 +208,9 @@
               [this](const http::Response& response) {
                 log_reachability(response.status != 0, response.status);
                 // Offsets are assigned again after a restore, so that the records from the former offset on may lack
-                // some.
-                if (observe_era(response)) return read_configuration();
+                // some. The era of the offset counts, not the last one seen: another daemon may have told of it first.
+                const std::uint64_t era = observe_era(response);
+                if (offset_era_ != 0 && era > offset_era_) return read_configuration();
                 const auto changes =
                     value_or_log_error(adapter_.parse_changes(response, next_offset_), log_, "configuration");
                 // Truncated changes are recovered by reading the newest records.
--- a/src/damaskthread/mesh/store_client.h
+++ b/src/damaskthread/mesh/store_client.h
@@ -88,8 +88,8 @@
 
  private:
   /// Notes the era in a response.
-  /// @return Whether the store was restored since the previous response.
-  bool observe_era(const http::Response& response);
+  /// @return The era; zero if the response has none.
+  std::uint64_t observe_era(const http::Response& response);
   /// Reads the member list soon, to find out whether the own entry was lost.
   void reread_members();
   void read_configuration();
@@ -107,6 +107,8 @@
   StoreCall members_;
   StoreCall writes_;
   std::uint64_t next_offset_ = 0;
+  /// Era in which `next_offset_` was read; zero if unknown.
+  std::uint64_t offset_era_ = 0;
   std::string member_key_;
   std::string member_value_;
   bool watch_enabled_ = false;
