Keep the recorded departure if a deregistration comes first

A restarted daemon that got a deregistration before it had read the member list did not take over the departure in its entry, and then replaced the entry by one without a departure, since the two differed.

The test failed before (the entry had no departure any more) and passes now.

--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -250,11 +250,12 @@
         continue;
       }
       self_listed = entry->zone == settings.zone && entry->service == settings.service;
-      if (self_listed && entry->departed_server && !gate.life().departed()) {
+      if (self_listed && entry->departed_server && !listed_departure) {
         listed_departure = entry->departed_server;
         log.line(LogClass::kStateChange, "departure_restored",
                  {{"server", listed_departure->id}, {"started_ms", listed_departure->started_at_ms}});
-        gate.remember_leave(*entry->departed_server);
+        // A deregistration that came before this read is newer.
+        if (!gate.life().departed()) gate.remember_leave(*entry->departed_server);
       }
       // The store may have lost the latest departure when it was restored from a backup.
       self_listed = self_listed && entry->departed_server == listed_departure;
--- a/test/meshfleet/fleet_test.cc
+++ b/test/meshfleet/fleet_test.cc
@@ -335,6 +335,35 @@
   CHECK(fixture.store_calls() - before <= 5);
 }
 
+// A deregistration that arrives before the member list was read has no start time, and replaced the recorded departure.
+TEST_CASE("a recorded departure stays in the store after a restarted daemon got a deregistration first") {
+  ProcessFleetFixture fixture({{"lookup", true, 2, ""}}, "departure-kept");
+  Vm& vm = fixture.fleet.vm("lookup-0");
+  const std::string key = "127.0.0.1:" + std::to_string(vm.peer_proxy_port);
+  const auto recorded = [&] {
+    std::string value;
+    fixture.fleet.on_loop([&] { value = fixture.fleet.store().member(key); });
+    return value.find("left_started_ms") != std::string::npos;
+  };
+  fixture.leave(vm);
+  REQUIRE(fixture.within(kTestTimeout, recorded));
+  fixture.fleet.on_loop([&] {
+    vm.server->crash();
+    fixture.fleet.store().set_fault(Store::Fault::kRefuse);
+  });
+  Fleet::kill_daemon(vm);
+  fixture.fleet.start_daemon(vm);
+  REQUIRE(support::wait_for_port(vm.ports.control_port));
+  support::HttpCall call;
+  call.method = "POST";
+  call.target = "/rpc?call=instances.deregister&of=i-other";
+  support::HttpCaller caller("127.0.0.1", vm.ports.control_port);
+  REQUIRE(caller.call(call).status == 200);
+  fixture.fleet.on_loop([&] { fixture.fleet.store().set_fault(Store::Fault::kNone); });
+  std::this_thread::sleep_for(kStoreRecoveryTime + seconds(2));
+  CHECK(recorded());
+}
+
 TEST_CASE("odd entries of another writer neither end a daemon nor keep it from the sound ones") {
   ProcessFleetFixture fixture({{"lookup", true, 2, ""}, {"desk", true, 1, ""}}, "odd-entries");
   const std::string nested(100'000, '[');
