Test tenants with real daemons

A fleet may declare tenants. The test checks that a valid key is served, that the servers of a request and of its nested call get the tenant's name and no key, that an unknown or missing key is answered 401 and does not run, that a revoked key is refused on a connection that stays open, and that no file of a daemon contains a key.

--- a/test/meshfleet/fleet.cc
+++ b/test/meshfleet/fleet.cc
@@ -124,8 +124,11 @@
   }
   const Json limits = {
       {"header_bytes", 16384}, {"body_bytes", limits_.body_bytes}, {"header", "3000ms"}, {"idle", "15000ms"}};
-  return Json{{"version", version_.load()}, {"services", services}, {"limits", limits}, {"virtual_hosts", hosts}}
-      .dump();
+  Json document = {{"version", version_.load()}, {"services", services}, {"limits", limits}, {"virtual_hosts", hosts}};
+  for (const TenantSpec& tenant : tenants_) {
+    document["tenants"].push_back({{"name", tenant.name}, {"api_keys", tenant.keys}});
+  }
+  return document.dump();
 }
 
 std::string Fleet::newest_host(const std::string& service) const {
--- a/test/meshfleet/fleet.h
+++ b/test/meshfleet/fleet.h
@@ -64,6 +64,12 @@
   std::chrono::milliseconds timeout{1500};
 };
 
+/// A tenant in the configuration.
+struct TenantSpec {
+  std::string name;
+  std::vector<std::string> keys;
+};
+
 /// @brief Runs the VMs of several services and a store, whose configuration routes to all of them.
 class Fleet {
  public:
@@ -84,6 +90,8 @@
   /// @brief Writes the next configuration version to the store. Besides its constant host, each service has a host that
   /// exists only in this version, which shows whether a daemon has the version in force.
   void publish();
+  /// @brief Sets the tenants of the configurations published from now on. Without tenants requests need no key.
+  void set_tenants(std::vector<TenantSpec> tenants) { tenants_ = std::move(tenants); }
   /// @return The host that exists only in the newest version.
   [[nodiscard]] std::string newest_host(const std::string& service) const;
   [[nodiscard]] int version() const noexcept { return version_; }
@@ -131,6 +139,7 @@
 
   std::vector<ServiceSpec> services_;
   std::string logs_;
+  std::vector<TenantSpec> tenants_;
   FleetLimits limits_;
   boost::asio::io_context io_;
   std::vector<ReservedPort> ports_;
--- a/test/meshfleet/fleet_test.cc
+++ b/test/meshfleet/fleet_test.cc
@@ -5,7 +5,10 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <string>
 #include <thread>
@@ -32,6 +35,11 @@
 
 constexpr const char* kHost = "lookup.example";
 
+std::string read_file(const std::filesystem::path& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
 // A separate fleet for each test, with requests sent one at a time.
 struct ProcessFleetFixture {
   explicit ProcessFleetFixture(std::vector<ServiceSpec> services, const std::string& name)
@@ -364,6 +372,66 @@
   CHECK(recorded());
 }
 
+// Guards against keys that reach a server or a log, requests that run without a valid key, nested calls without a
+// tenant, and revoked keys that go on working on an open connection.
+TEST_CASE("requests are served by the tenants' keys alone, which no server and no log gets") {
+  ProcessFleetFixture fixture({{"front", true, 2, "lookup"}, {"lookup", true, 2, ""}}, "tenants");
+  const std::string key = "key-of-acme-4711";
+  const std::string other_key = "key-of-acme-4712";
+  const std::string unknown_key = "key-of-nobody-99";
+  Fleet& fleet = fixture.fleet;
+  const Vm& vm = fleet.vm("front-0");
+  support::HttpCaller caller("127.0.0.1", vm.ports.caller_port);
+  const auto send = [&](const std::string& host, const std::string& sent_key) {
+    support::HttpCall call = fixture.request(host, "/x");
+    if (!sent_key.empty()) call.headers.emplace_back("Authorization", "Bearer " + sent_key);
+    call.headers.emplace_back("X-Tenant", "somebody");
+    return caller.call(call).status;
+  };
+  fleet.set_tenants({{"acme", {key, other_key}}});
+  fleet.publish();
+  REQUIRE(fixture.within(kTestTimeout, [&] { return send(fleet.newest_host("front"), key) == 200; }));
+  for (const auto& other : fleet.vms()) {
+    // Without a key, a host of the version in force is answered 401 and not 404.
+    CHECK(fixture.within(kTestTimeout, [&] {
+      return fixture.send_request(*other, fleet.newest_host(other->service), "/x").status == 401;
+    }));
+  }
+  CHECK(send("front.example", key) == 200);
+  const std::string served = fixture.last_attempt;
+  CHECK(send("front.example", unknown_key) == 401);
+  const std::string refused = fixture.last_attempt;
+  CHECK(send("front.example", "") == 401);
+  fleet.on_loop([&] {
+    ExecutionLog& log = fleet.execution_log();
+    CHECK(log.runs[refused] == 0);
+    for (const std::string& attempt : {served, served + ".1"}) {
+      CHECK_MESSAGE(log.headers.contains(attempt), attempt);
+      CHECK(http::find(log.headers[attempt], "X-Tenant") == "acme");
+    }
+    for (const auto& [attempt, headers] : log.headers) {
+      for (const http::Header& header : headers) {
+        CHECK_MESSAGE(header.value.find("key-of-") == std::string::npos, attempt, " ", header.name);
+      }
+    }
+  });
+
+  const int connections = caller.connections();
+  fleet.set_tenants({{"acme", {other_key}}});
+  fleet.publish();
+  REQUIRE(fixture.within(kTestTimeout, [&] { return send(fleet.newest_host("front"), other_key) == 200; }));
+  CHECK(send("front.example", key) == 401);
+  CHECK(send("front.example", other_key) == 200);
+  CHECK(caller.connections() == connections);
+
+  int logs = 0;
+  for (const auto& file : std::filesystem::directory_iterator(fleet.logs())) {
+    CHECK_MESSAGE(read_file(file.path()).find("key-of-") == std::string::npos, file.path().string());
+    ++logs;
+  }
+  CHECK(logs >= 4);
+}
+
 TEST_CASE("odd entries of another writer neither end a daemon nor keep it from the sound ones") {
   ProcessFleetFixture fixture({{"lookup", true, 2, ""}, {"desk", true, 1, ""}}, "odd-entries");
   const std::string nested(100'000, '[');
--- a/test/meshfleet/server.cc
+++ b/test/meshfleet/server.cc
@@ -118,6 +118,7 @@
     return;
   }
   ++execution_log_.runs[attempt];
+  execution_log_.headers[attempt] = headers;
   execution_log_.caller_services[attempt] = http::find(headers, "X-Caller-Service");
   if (request->request.target.find("poison") != std::string::npos) {
     ++execution_log_.poison_crashes;
--- a/test/meshfleet/server.h
+++ b/test/meshfleet/server.h
@@ -28,6 +28,8 @@
   std::map<std::string, int> runs;
   /// Service in the caller header of the last execution, by attempt id.
   std::map<std::string, std::string> caller_services;
+  /// Headers of the last execution, by attempt id.
+  std::map<std::string, http::Headers> headers;
   /// Server crashes caused by requests whose path contains "poison".
   int poison_crashes = 0;
   std::vector<std::string> violations;
--- a/test/support/http_caller.cc
+++ b/test/support/http_caller.cc
@@ -79,6 +79,7 @@
   if (inet_pton(AF_INET, ip_.c_str(), &address.sin_addr) != 1) return false;
   socket_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   if (socket_ < 0) return false;
+  ++connections_;
   const int on = 1;
   setsockopt(socket_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   int failure = 0;
--- a/test/support/http_caller.h
+++ b/test/support/http_caller.h
@@ -58,6 +58,8 @@
 
   HttpAnswer call(const HttpCall& request);
   void close() noexcept;
+  /// @return How many connections it has opened so far.
+  [[nodiscard]] int connections() const noexcept { return connections_; }
 
  private:
   using Clock = std::chrono::steady_clock;
@@ -73,6 +75,7 @@
   std::string ip_;
   std::uint16_t port_;
   int socket_ = -1;
+  int connections_ = 0;
   std::string buffer_;
 };
 
