--- a/test/platform/adapter_test.cc
+++ b/test/platform/adapter_test.cc
@@ -241,6 +241,23 @@
   CHECK(!value_or_null(adapter.parse_newest({200, {}, "["})));
 }
 
+// A page that was cut off put the encoded configuration, and with it the tenants' keys, into the log.
+TEST_CASE("the error of a malformed page gives none of its text") {
+  std::string message;
+  (void)boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<bool> {
+        BOOST_LEAF_CHECK(StoreAdapter().parse_newest({200, {}, R"({"items":[{"key":"config","value":"c2VjcmV0)"}));
+        return true;
+      },
+      [&](const core::Error& error) {
+        message = error.message;
+        return false;
+      },
+      [] { return false; });
+  CHECK_MESSAGE(message.find("c2Vj") == std::string::npos, message);
+  CHECK_MESSAGE(message.find("byte ") != std::string::npos, message);
+}
+
 TEST_CASE("an entry is encoded as one keyed record") {
   const StoreAdapter adapter;
   const http::Request request = adapter.put(mesh::Topic::kMembers, "key", "value");
