Average the work time of a VM over time instead of reports

The mean was meant to cover some ten seconds but had a fixed weight for each report. The local server is taken over 40 times a second, so that its mean covered about one second and a disturbance of the own VM soon counted as its usual state. The weight now follows from the time since the last report, of at most a second.

The new test failed before (0 of 100 choices, now 100).

--- a/src/damaskthread/placement/server_pool.cc
+++ b/src/damaskthread/placement/server_pool.cc
@@ -12,8 +12,11 @@
 // Spread of the random cost factor that keeps daemons from choosing equal servers in the same order.
 constexpr double kJitter = 0.08;
 
-// Weight of a report in the mean work time of a VM; with several reports a second, the mean covers some ten seconds.
-constexpr double kWorkTimeSmoothing = 0.02;
+// Time that the mean work time of a VM covers. It does not depend on the rate of reports, which differs between the
+// local server (one in each tick) and others.
+constexpr double kWorkTimeMeanSeconds = 10;
+// A report says nothing about a longer time before it.
+constexpr double kMaxReportSeconds = 1;
 
 double utilization(const gate::Load& load, int unreported) {
   return static_cast<double>(load.running + load.queued + unreported) / std::max(1.0, load.pace * load.limit);
@@ -51,10 +54,13 @@
 }
 
 void ServerPool::set_load(Server& server, const gate::Load& load, core::TimePoint now) {
+  const double elapsed =
+      server.last_load_at ? std::chrono::duration<double>(now - *server.last_load_at).count() : kMaxReportSeconds;
+  const double weight = 1 - std::exp(-std::clamp(elapsed, 0.0, kMaxReportSeconds) / kWorkTimeMeanSeconds);
   server.report.load = load;
   server.sent_since_report = 0;
   server.last_load_at = now;
-  server.mean_work_time += kWorkTimeSmoothing * (load.work_time - server.mean_work_time);
+  server.mean_work_time += weight * (load.work_time - server.mean_work_time);
 }
 
 double ServerPool::expected_work_time(const Server& server, double mean_run_seconds, core::TimePoint now) const {
@@ -128,8 +134,10 @@
 void ServerPool::update_load(const std::string& endpoint, const gate::Load& load, core::TimePoint now) {
   Server* const server = find(endpoint);
   if (server == nullptr) return;
-  server->last_load_at = now;
-  if (load.limit <= 0) return;
+  if (load.limit <= 0) {
+    server->last_load_at = now;
+    return;
+  }
   set_load(*server, load, now);
 }
 
--- a/test/damaskthread/placement/server_pool_test.cc
+++ b/test/damaskthread/placement/server_pool_test.cc
@@ -288,4 +288,26 @@
   CHECK(outcome.mean_wait_ms < 36);
 }
 
+// A daemon takes over the load of its own server 40 times a second; a mean over reports covered about one second there,
+// so that each disturbance of the own VM counted as its usual state.
+TEST_CASE("the mean work time covers the same time however often a server reports") {
+  ServerPool pool;
+  ServerReport steady = report(0);
+  steady.load.work_time = 1.6;
+  ServerReport disturbed = report(0);
+  for (int ms = 0; ms < 100'000; ms += 400) {
+    add(pool, "steady", true, steady, kStart - seconds(102) + milliseconds(ms));
+    add(pool, "often", true, disturbed, kStart - seconds(102) + milliseconds(ms));
+  }
+  disturbed.load.work_time = 2.5;
+  for (int ms = 0; ms < 2'000; ms += 25) add(pool, "often", true, disturbed, kStart - seconds(2) + milliseconds(ms));
+  add(pool, "steady", true, steady);
+  add(pool, "other", true, report(0));
+  pool.on_finished("other", "long", seconds(10), false);
+  pool.remove("other");
+  // The run outlasts the disturbance by far, so that the means count.
+  const PlacementRequest long_request = {"s", "long", core::Duration{0}, {}, {}};
+  CHECK(choices(pool, long_request, 100)["often"] == 100);
+}
+
 }  // namespace damaskthread::placement
