Show the share and the work time of the server in the metrics

The requirements ask for the share in force in logs and metrics; only the log had it. The metrics now show it and the work time, as they are at the time of the scrape. The fleet of the process tests gets admin ports.

The test failed before (no such metrics) and passes now.

--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -446,6 +446,7 @@
   void answer_admin(CallerRequest& caller_request) {
     http::Response response;
     if (caller_request.request.target == "/metrics") {
+      record_server_load();
       response.body = registry.expose();
     } else if (caller_request.request.target == "/status") {
       response.body = status_json();
@@ -455,6 +456,14 @@
     caller_request.answer(response);
   }
 
+  void record_server_load() {
+    const gate::Load load = gate.load(now());
+    registry.gauge("damaskthread_server_pace", "Share of the server's slots that is used while it ramps up, else 1.")
+        .set(load.pace);
+    registry.gauge("damaskthread_server_work_time", "Work time of the server's VM, relative to the usual one.")
+        .set(load.work_time);
+  }
+
   [[nodiscard]] std::string status_json() {
     const peer::Status own = own_status();
     Json peers_json = Json::array();
--- a/test/meshfleet/fleet.cc
+++ b/test/meshfleet/fleet.cc
@@ -58,6 +58,7 @@
                service.server_proxies ? reserve_port() : std::uint16_t{0}};
   vm->peer_port = reserve_port();
   vm->readiness_port = reserve_port();
+  vm->admin_port = reserve_port();
   vm->peer_proxy_port = reserve_port();
   vm->store_proxy_port = reserve_port();
   vm->settings_path = logs_ + "/" + vm->name + ".json";
@@ -69,6 +70,7 @@
                            {"peers", local(vm->peer_port)},
                            {"advertised", local(vm->peer_proxy_port)},
                            {"ready", local(vm->readiness_port)},
+                           {"admin", local(vm->admin_port)},
                            {"control", local(vm->ports.control_port)}}},
                          {"local_server", local(vm->ports.local_server())},
                          {"store", local(vm->store_proxy_port)},
--- a/test/meshfleet/fleet.h
+++ b/test/meshfleet/fleet.h
@@ -44,6 +44,7 @@
   VmPorts ports;
   std::uint16_t peer_port = 0;
   std::uint16_t readiness_port = 0;
+  std::uint16_t admin_port = 0;
   std::uint16_t peer_proxy_port = 0;
   std::uint16_t store_proxy_port = 0;
   std::unique_ptr<Server> server;
--- a/test/meshfleet/fleet_test.cc
+++ b/test/meshfleet/fleet_test.cc
@@ -432,6 +432,19 @@
   CHECK(logs >= 4);
 }
 
+// Only the log showed which share of its slots a server that ramps up is given.
+TEST_CASE("the metrics show the share and the work time of the server") {
+  ProcessFleetFixture fixture({{"lookup", true, 1, ""}}, "pace-metrics");
+  support::HttpCall call;
+  call.target = "/metrics";
+  support::HttpCaller caller("127.0.0.1", fixture.fleet.vm("lookup-0").admin_port);
+  const support::HttpAnswer answer = caller.call(call);
+  CHECK(answer.status == 200);
+  // The server reports no work time, so that it does not ramp up.
+  CHECK_MESSAGE(answer.body.find("\ndamaskthread_server_pace 1\n") != std::string::npos, answer.body);
+  CHECK_MESSAGE(answer.body.find("\ndamaskthread_server_work_time 1\n") != std::string::npos, answer.body);
+}
+
 TEST_CASE("odd entries of another writer neither end a daemon nor keep it from the sound ones") {
   ProcessFleetFixture fixture({{"lookup", true, 2, ""}, {"desk", true, 1, ""}}, "odd-entries");
   const std::string nested(100'000, '[');
