--- a/test/meshfleet/fleet_test.cc
+++ b/test/meshfleet/fleet_test.cc
@@ -5,7 +5,10 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <string>
 #include <thread>
@@ -32,6 +35,11 @@
 
 constexpr const char* kHost = "lookup.example";
 
+std::string read_file(const std::filesystem::path& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
 // A separate fleet for each test, with requests sent one at a time.
 struct ProcessFleetFixture {
   explicit ProcessFleetFixture(std::vector<ServiceSpec> services, const std::string& name)
@@ -102,13 +110,19 @@
   static int send_heartbeat(const Vm& vm, const std::string& id, const std::string& service, const std::string& address,
                             const std::string& state) {
     const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    const auto started = std::chrono::duration_cast<milliseconds>(wall).count();
+    return send_heartbeat(vm, id, service, address, state, 1, R"("born":)" + std::to_string(started) + ",");
+  }
+
+  // `started` is the field of the start time, which may be missing.
+  static int send_heartbeat(const Vm& vm, const std::string& id, const std::string& service, const std::string& address,
+                            const std::string& state, int sequence, const std::string& started) {
     support::HttpCall call;
     call.method = "POST";
     call.target = "/rpc?call=instances.heartbeat&of=" + id;
-    call.body = R"({"address":")" + address + R"(","born":)" +
-                std::to_string(std::chrono::duration_cast<milliseconds>(wall).count()) + R"(,"info":{"service":")" +
-                service + R"(","version":"v1","zone":"z","capacity":20},"status":{"state":")" + state +
-                R"(","sequence":1,"cold_left":"0ms"}})";
+    call.body = R"({"address":")" + address + R"(",)" + started + R"("info":{"service":")" + service +
+                R"(","version":"v1","zone":"z","capacity":20},"status":{"state":")" + state + R"(","sequence":)" +
+                std::to_string(sequence) + R"(,"cold_left":"0ms"}})";
     support::HttpCaller caller("127.0.0.1", vm.ports.control_port);
     return caller.call(call).status;
   }
@@ -310,6 +324,127 @@
   }
 }
 
+// The store's entry has no room for a departure without a start time; daemons took it for lost and wrote it again after
+// each read of the member list.
+TEST_CASE("a departure without a start time is not written in a loop") {
+  ProcessFleetFixture fixture({{"lookup", true, 2, ""}}, "departure-without-start");
+  Vm& vm = fixture.fleet.vm("lookup-0");
+  fixture.fleet.on_loop([&] { vm.server->crash(); });
+  Fleet::kill_daemon(vm);
+  fixture.fleet.start_daemon(vm);
+  REQUIRE(support::wait_for_port(vm.ports.control_port));
+  const std::string address = "127.0.0.1:" + std::to_string(vm.ports.local_server());
+  REQUIRE(fixture.send_heartbeat(vm, "i-new", "lookup", address, "ready", 1, "") == 200);
+  REQUIRE(fixture.send_heartbeat(vm, "i-new", "lookup", address, "draining", 2, "") == 200);
+  std::this_thread::sleep_for(seconds(2));
+  const int before = fixture.store_calls();
+  std::this_thread::sleep_for(seconds(3));
+  // The watches of the two daemons last four seconds each.
+  CHECK(fixture.store_calls() - before <= 5);
+}
+
+// A deregistration that arrives before the member list was read has no start time, and replaced the recorded departure.
+TEST_CASE("a recorded departure stays in the store after a restarted daemon got a deregistration first") {
+  ProcessFleetFixture fixture({{"lookup", true, 2, ""}}, "departure-kept");
+  Vm& vm = fixture.fleet.vm("lookup-0");
+  const std::string key = "127.0.0.1:" + std::to_string(vm.peer_proxy_port);
+  const auto recorded = [&] {
+    std::string value;
+    fixture.fleet.on_loop([&] { value = fixture.fleet.store().member(key); });
+    return value.find("left_started_ms") != std::string::npos;
+  };
+  fixture.leave(vm);
+  REQUIRE(fixture.within(kTestTimeout, recorded));
+  fixture.fleet.on_loop([&] {
+    vm.server->crash();
+    fixture.fleet.store().set_fault(Store::Fault::kRefuse);
+  });
+  Fleet::kill_daemon(vm);
+  fixture.fleet.start_daemon(vm);
+  REQUIRE(support::wait_for_port(vm.ports.control_port));
+  support::HttpCall call;
+  call.method = "POST";
+  call.target = "/rpc?call=instances.deregister&of=i-other";
+  support::HttpCaller caller("127.0.0.1", vm.ports.control_port);
+  REQUIRE(caller.call(call).status == 200);
+  fixture.fleet.on_loop([&] { fixture.fleet.store().set_fault(Store::Fault::kNone); });
+  std::this_thread::sleep_for(kStoreRecoveryTime + seconds(2));
+  CHECK(recorded());
+}
+
+// Guards against keys that reach a server or a log, requests that run without a valid key, nested calls without a
+// tenant, and revoked keys that go on working on an open connection.
+TEST_CASE("requests are served by the tenants' keys alone, which no server and no log gets") {
+  ProcessFleetFixture fixture({{"front", true, 2, "lookup"}, {"lookup", true, 2, ""}}, "tenants");
+  const std::string key = "key-of-acme-4711";
+  const std::string other_key = "key-of-acme-4712";
+  const std::string unknown_key = "key-of-nobody-99";
+  Fleet& fleet = fixture.fleet;
+  const Vm& vm = fleet.vm("front-0");
+  support::HttpCaller caller("127.0.0.1", vm.ports.caller_port);
+  const auto send = [&](const std::string& host, const std::string& sent_key) {
+    support::HttpCall call = fixture.request(host, "/x");
+    if (!sent_key.empty()) call.headers.emplace_back("Authorization", "Bearer " + sent_key);
+    call.headers.emplace_back("X-Tenant", "somebody");
+    return caller.call(call).status;
+  };
+  fleet.set_tenants({{"acme", {key, other_key}}});
+  fleet.publish();
+  REQUIRE(fixture.within(kTestTimeout, [&] { return send(fleet.newest_host("front"), key) == 200; }));
+  for (const auto& other : fleet.vms()) {
+    // Without a key, a host of the version in force is answered 401 and not 404.
+    CHECK(fixture.within(kTestTimeout, [&] {
+      return fixture.send_request(*other, fleet.newest_host(other->service), "/x").status == 401;
+    }));
+  }
+  CHECK(send("front.example", key) == 200);
+  const std::string served = fixture.last_attempt;
+  CHECK(send("front.example", unknown_key) == 401);
+  const std::string refused = fixture.last_attempt;
+  CHECK(send("front.example", "") == 401);
+  fleet.on_loop([&] {
+    ExecutionLog& log = fleet.execution_log();
+    CHECK(log.runs[refused] == 0);
+    for (const std::string& attempt : {served, served + ".1"}) {
+      CHECK_MESSAGE(log.headers.contains(attempt), attempt);
+      CHECK(http::find(log.headers[attempt], "X-Tenant") == "acme");
+    }
+    for (const auto& [attempt, headers] : log.headers) {
+      for (const http::Header& header : headers) {
+        CHECK_MESSAGE(header.value.find("key-of-") == std::string::npos, attempt, " ", header.name);
+      }
+    }
+  });
+
+  const int connections = caller.connections();
+  fleet.set_tenants({{"acme", {other_key}}});
+  fleet.publish();
+  REQUIRE(fixture.within(kTestTimeout, [&] { return send(fleet.newest_host("front"), other_key) == 200; }));
+  CHECK(send("front.example", key) == 401);
+  CHECK(send("front.example", other_key) == 200);
+  CHECK(caller.connections() == connections);
+
+  int logs = 0;
+  for (const auto& file : std::filesystem::directory_iterator(fleet.logs())) {
+    CHECK_MESSAGE(read_file(file.path()).find("key-of-") == std::string::npos, file.path().string());
+    ++logs;
+  }
+  CHECK(logs >= 4);
+}
+
+// Only the log showed which share of its slots a server that ramps up is given.
+TEST_CASE("the metrics show the share and the work time of the server") {
+  ProcessFleetFixture fixture({{"lookup", true, 1, ""}}, "pace-metrics");
+  support::HttpCall call;
+  call.target = "/metrics";
+  support::HttpCaller caller("127.0.0.1", fixture.fleet.vm("lookup-0").admin_port);
+  const support::HttpAnswer answer = caller.call(call);
+  CHECK(answer.status == 200);
+  // The server reports no work time, so that it does not ramp up.
+  CHECK_MESSAGE(answer.body.find("\ndamaskthread_server_pace 1\n") != std::string::npos, answer.body);
+  CHECK_MESSAGE(answer.body.find("\ndamaskthread_server_work_time 1\n") != std::string::npos, answer.body);
+}
+
 TEST_CASE("odd entries of another writer neither end a daemon nor keep it from the sound ones") {
   ProcessFleetFixture fixture({{"lookup", true, 2, ""}, {"desk", true, 1, ""}}, "odd-entries");
   const std::string nested(100'000, '[');
