Let the tests' HTTP caller pipeline requests

Cause: the soak sends one request at a time on a connection, so it cannot see responses out of order or of another request. Change: HttpCaller::call_pipelined sends several requests, optionally a pause apart, and reads the answers in order; bytes of the next answer that arrive with the one before it are parsed first. call is the case of one request.

--- a/test/support/http_caller.cc
+++ b/test/support/http_caller.cc
@@ -14,6 +14,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cerrno>
+#include <thread>
+#include <utility>
 
 namespace damaskthread::support {
 namespace {
@@ -135,8 +137,10 @@
   parser.skip(request.method == "HEAD");
   bool ended = false;
   boost::system::error_code error;
+  // Bytes of this answer that arrived with the one before it.
+  bool unparsed = !buffer_.empty();
   while (!parser.is_done()) {
-    if (!receive(request, deadline, answer, ended)) break;
+    if (!std::exchange(unparsed, false) && !receive(request, deadline, answer, ended)) break;
     error = {};
     const std::size_t used = parser.put(boost::asio::buffer(buffer_), error);
     buffer_.erase(0, used);
@@ -156,10 +160,7 @@
   return answer.exchange == Exchange::kWhole && parser.keep_alive();
 }
 
-HttpAnswer HttpCaller::call(const HttpCall& request) {
-  const Clock::time_point deadline = Clock::now() + request.timeout;
-  HttpAnswer answer;
-  if (!alive() && !connect(deadline)) return answer;
+std::string HttpCaller::to_bytes(const HttpCall& request) const {
   const bool names_host = std::any_of(request.headers.begin(), request.headers.end(),
                                       [](const auto& header) { return header.first == "Host"; });
   std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
@@ -167,11 +168,30 @@
   text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
   for (const auto& [name, value] : request.headers) text.append(name).append(": ").append(value).append("\r\n");
   text += "\r\n" + request.body;
-  answer.exchange = Exchange::kNoAnswer;
-  const bool reusable =
-      send_all(text, request, deadline, answer) && read_answer(request, deadline, answer) && buffer_.empty();
-  if (!reusable) close();
-  return answer;
+  return text;
+}
+
+HttpAnswer HttpCaller::call(const HttpCall& request) { return std::move(call_pipelined({request}).front()); }
+
+std::vector<HttpAnswer> HttpCaller::call_pipelined(const std::vector<HttpCall>& requests,
+                                                   std::chrono::milliseconds pause) {
+  const Clock::time_point start = Clock::now();
+  std::vector<HttpAnswer> answers(requests.size());
+  if (!alive() && !connect(start + requests.front().timeout)) return answers;
+  for (HttpAnswer& answer : answers) answer.exchange = Exchange::kNoAnswer;
+  std::string text;
+  bool reusable = true;
+  for (const HttpCall& request : requests) {
+    text += to_bytes(request);
+    const bool last = &request == &requests.back();
+    if (pause == std::chrono::milliseconds::zero() && !last) continue;
+    reusable = reusable && send_all(std::exchange(text, {}), request, start + request.timeout, answers.front());
+    if (!last) std::this_thread::sleep_for(pause);
+  }
+  for (std::size_t i = 0; i < requests.size() && reusable; ++i)
+    reusable = read_answer(requests[i], start + requests[i].timeout, answers[i]);
+  if (!reusable || !buffer_.empty()) close();
+  return answers;
 }
 
 }  // namespace damaskthread::support
--- a/test/support/http_caller.h
+++ b/test/support/http_caller.h
@@ -57,6 +57,10 @@
   HttpCaller& operator=(const HttpCaller&) = delete;
 
   HttpAnswer call(const HttpCall& request);
+  /// Sends all requests, `pause` apart, and reads the answers in the order of the requests. The requests behind an
+  /// answer that ends the connection have the exchange kNoAnswer.
+  std::vector<HttpAnswer> call_pipelined(const std::vector<HttpCall>& requests,
+                                         std::chrono::milliseconds pause = std::chrono::milliseconds::zero());
   void close() noexcept;
 
  private:
@@ -64,6 +68,7 @@
 
   bool connect(Clock::time_point deadline);
   bool alive() const noexcept;
+  std::string to_bytes(const HttpCall& request) const;
   bool send_all(std::string_view bytes, const HttpCall& request, Clock::time_point deadline, HttpAnswer& answer);
   /// Appends what arrives to `buffer_`.
   /// @return False if the connection ended or the call is over; `answer.exchange` is set in the latter case.
