--- a/test/meshfleet/fleet.cc
+++ b/test/meshfleet/fleet.cc
@@ -17,10 +17,15 @@
 
 std::string local(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
 
+const char* route_kind(const ServiceSpec& service) {
+  if (service.download) return "download";
+  return service.idempotent ? "idempotent" : "non_idempotent";
+}
+
 Json host_entry(const std::string& host, const ServiceSpec& service, std::chrono::milliseconds timeout) {
   const Json path = {{"name", host},
                      {"path_prefix", "/"},
-                     {"kind", service.idempotent ? "idempotent" : "non_idempotent"},
+                     {"kind", route_kind(service)},
                      {"timeout", std::to_string(timeout.count()) + "ms"},
                      {"slo", "800ms"},
                      {"priority", service.idempotent ? 2 : 0},
@@ -31,8 +36,9 @@
 
 }  // namespace
 
-Fleet::Fleet(std::vector<ServiceSpec> services, std::string logs, const FleetLimits& limits)
-    : services_(std::move(services)), logs_(std::move(logs)), limits_(limits) {
+Fleet::Fleet(std::vector<ServiceSpec> services, std::string logs, const FleetLimits& limits,
+             std::vector<TenantSpec> tenants)
+    : services_(std::move(services)), logs_(std::move(logs)), limits_(limits), tenants_(std::move(tenants)) {
   std::filesystem::create_directories(logs_);
   const std::uint16_t store_port = reserve_port();
   store_ = std::make_unique<Store>(io_, store_port);
@@ -79,7 +85,7 @@
   std::ofstream(vm->settings_path) << settings.dump(2);
   const std::string callee = service.callee.empty() ? "" : service.callee + ".example";
   vm->server = std::make_unique<Server>(io_, service.name, vm->ports, callee, execution_log_,
-                                        static_cast<unsigned>(vms_.size()));
+                                        static_cast<unsigned>(vms_.size()), service.max_response_bytes);
   if (service.server_proxies) {
     vm->server_proxy = std::make_unique<Proxy>(io_, vm->ports.server_proxy_port, vm->ports.server_port);
   }
@@ -111,6 +117,10 @@
 
 void Fleet::publish() {
   ++version_;
+  publish_again();
+}
+
+void Fleet::publish_again() {
   on_loop([&] { store_->write_as_operator("config", configuration()); });
 }
 
@@ -122,9 +132,17 @@
     hosts.push_back(host_entry(service.name + ".example", service, limits_.timeout));
     hosts.push_back(host_entry(newest_host(service.name), service, limits_.timeout));
   }
+  Json tenants = Json::array();
+  for (const TenantSpec& tenant : tenants_) {
+    tenants.push_back({{"name", tenant.name}, {"api_keys", Json::array({tenant.key})}});
+  }
   const Json limits = {
       {"header_bytes", 16384}, {"body_bytes", limits_.body_bytes}, {"header", "3000ms"}, {"idle", "15000ms"}};
-  return Json{{"version", version_.load()}, {"services", services}, {"limits", limits}, {"virtual_hosts", hosts}}
+  return Json{{"version", version_.load()},
+              {"services", services},
+              {"limits", limits},
+              {"tenants", tenants},
+              {"virtual_hosts", hosts}}
       .dump();
 }
 
--- a/test/meshfleet/fleet.h
+++ b/test/meshfleet/fleet.h
@@ -35,6 +35,16 @@
   std::string callee;
   /// Whether the daemons reach their servers through proxies, which can repeat responses.
   bool server_proxies = false;
+  /// Upper bound of the size of a response body.
+  std::size_t max_response_bytes = kDefaultMaxResponseBytes;
+  /// Whether the route is of the kind `download`; only for idempotent services.
+  bool download = false;
+};
+
+/// A tenant of the configuration, with a single key.
+struct TenantSpec {
+  std::string name;
+  std::string key;
 };
 
 /// Ports and processes of one VM.
@@ -68,7 +78,9 @@
 class Fleet {
  public:
   /// @param logs Folder for the settings and logs of the daemons.
-  Fleet(std::vector<ServiceSpec> services, std::string logs, const FleetLimits& limits = {});
+  /// @param tenants Tenants of every configuration version; without any, requests need no key.
+  Fleet(std::vector<ServiceSpec> services, std::string logs, const FleetLimits& limits = {},
+        std::vector<TenantSpec> tenants = {});
   /// Kills the daemons.
   ~Fleet();
   Fleet(const Fleet&) = delete;
@@ -84,6 +96,8 @@
   /// @brief Writes the next configuration version to the store. Besides its constant host, each service has a host that
   /// exists only in this version, which shows whether a daemon has the version in force.
   void publish();
+  /// @brief Writes the newest version to the store again, as the operator does after the store was restored.
+  void publish_again();
   /// @return The host that exists only in the newest version.
   [[nodiscard]] std::string newest_host(const std::string& service) const;
   [[nodiscard]] int version() const noexcept { return version_; }
@@ -132,6 +146,7 @@
   std::vector<ServiceSpec> services_;
   std::string logs_;
   FleetLimits limits_;
+  std::vector<TenantSpec> tenants_;
   boost::asio::io_context io_;
   std::vector<ReservedPort> ports_;
   ExecutionLog execution_log_;
--- a/test/meshfleet/server.cc
+++ b/test/meshfleet/server.cc
@@ -15,19 +15,21 @@
 // No request may arrive later than this after the acknowledgement of a departure.
 constexpr seconds kDrainBound{2};
 constexpr int kCapacity = 20;
+constexpr std::size_t kMinResponseBytes = 200;
 
 std::string address(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
 
 }  // namespace
 
 Server::Server(boost::asio::io_context& io, std::string service, const VmPorts& ports, std::string callee,
-               ExecutionLog& execution_log, unsigned seed)
+               ExecutionLog& execution_log, unsigned seed, std::size_t max_response_bytes)
     : io_(io),
       service_(std::move(service)),
       ports_(ports),
       callee_(std::move(callee)),
       execution_log_(execution_log),
       random_(seed),
+      max_response_bytes_(max_response_bytes),
       heartbeat_timer_(io) {}
 
 void Server::start() {
@@ -88,9 +90,9 @@
   });
 }
 
-std::string Server::response_body(const std::string& attempt_id) {
+std::string Server::response_body(const std::string& attempt_id, std::size_t max_bytes) {
   std::string body = attempt_id + ":";
-  const std::size_t size = 200 + std::hash<std::string>{}(attempt_id) % 20'000;
+  const std::size_t size = kMinResponseBytes + std::hash<std::string>{}(attempt_id) % (max_bytes - kMinResponseBytes);
   while (body.size() < size) body += attempt_id;
   return body;
 }
@@ -113,11 +115,15 @@
   if (http::find(headers, "X-Caller-Service").empty()) {
     execution_log_.violations.push_back("attempt " + attempt + " has no X-Caller-Service");
   }
+  if (!http::find(headers, "Authorization").empty()) {
+    execution_log_.violations.push_back("attempt " + attempt + " reached " + id_ + " with credentials");
+  }
   if (std::uniform_real_distribution<double>(0, 1)(random_) < rejected_share_) {
     request->answer({503, {{"X-Attempt-Id", attempt}, {"X-Not-Executed", "1"}}, ""});
     return;
   }
   ++execution_log_.runs[attempt];
+  execution_log_.tenants[attempt].emplace(http::find(headers, "X-Tenant"));
   execution_log_.caller_services[attempt] = http::find(headers, "X-Caller-Service");
   if (request->request.target.find("poison") != std::string::npos) {
     ++execution_log_.poison_crashes;
@@ -150,7 +156,7 @@
 
 void Server::finish(const std::shared_ptr<mesh::CallerRequest>& request, const std::string& attempt, int status) {
   http::Response response{status, {{"X-Attempt-Id", attempt}, {"X-Server-Seal", id_}}, ""};
-  if (status == 200) response.body = response_body(attempt);
+  if (status == 200) response.body = response_body(attempt, max_response_bytes_);
   request->answer(response);
 }
 
--- a/test/meshfleet/server.h
+++ b/test/meshfleet/server.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -28,11 +29,16 @@
   std::map<std::string, int> runs;
   /// Service in the caller header of the last execution, by attempt id.
   std::map<std::string, std::string> caller_services;
+  /// Tenant headers of all executions, by attempt id; an execution without the header adds an empty name.
+  std::map<std::string, std::set<std::string>> tenants;
   /// Server crashes caused by requests whose path contains "poison".
   int poison_crashes = 0;
   std::vector<std::string> violations;
 };
 
+/// Upper bound of the size of a response body, if a service sets none.
+constexpr std::size_t kDefaultMaxResponseBytes = 20'000;
+
 /// Loopback ports of one VM.
 struct VmPorts {
   std::uint16_t server_port = 0;
@@ -51,7 +57,7 @@
  public:
   /// @param callee Host of the route that each execution calls once; empty if none.
   Server(boost::asio::io_context& io, std::string service, const VmPorts& ports, std::string callee,
-         ExecutionLog& execution_log, unsigned seed);
+         ExecutionLog& execution_log, unsigned seed, std::size_t max_response_bytes = kDefaultMaxResponseBytes);
 
   /// @brief Starts the server with a new instance id.
   void start();
@@ -70,7 +76,7 @@
   void set_rejected_share(double share) noexcept { rejected_share_ = share; }
 
   /// @brief Expected response body for an attempt.
-  [[nodiscard]] static std::string response_body(const std::string& attempt_id);
+  [[nodiscard]] static std::string response_body(const std::string& attempt_id, std::size_t max_bytes);
 
  private:
   void listen();
@@ -86,6 +92,7 @@
   std::string callee_;
   ExecutionLog& execution_log_;
   std::mt19937 random_;
+  std::size_t max_response_bytes_;
   std::unique_ptr<mesh::HttpListener> listener_;
   boost::asio::steady_timer heartbeat_timer_;
   std::shared_ptr<mesh::HttpConnection> control_;
