--- a/src/damaskthread/mesh/ingress.cc
+++ b/src/damaskthread/mesh/ingress.cc
@@ -199,7 +199,6 @@
   if (access.tenant != nullptr && !exchange.inner) {
     exchange.priority = access.tenant->priority.value_or(exchange.priority);
   }
-  if (exchange.tenant == nullptr && exchange.inner) exchange.tenant = tenants.find_by_name(exchange.parent_tenant);
   return true;
 }
 
@@ -218,7 +217,6 @@
   exchange.priority = std::min(parent->priority, exchange.priority);
   exchange.repeat = parent->repeat;
   exchange.calls_left = parent->calls_left;
-  exchange.parent_tenant = parent->tenant;
   dependencies_.graph.record_call(parent->kind, exchange.route->name, true, now);
 }
 
