--- a/src/damaskthread/tenant/directory.h
+++ b/src/damaskthread/tenant/directory.h
@@ -44,8 +44,8 @@
   /// @brief Creates an empty directory, with which requests need no key.
   Directory() = default;
 
-  /// @brief Validates declarations. Names must be unique, not empty and without control characters, limits not negative,
-  /// and a key must not belong to two tenants. Errors are `core::Error`, which name the place but no key.
+  /// @brief Validates declarations. Names must be unique, not empty and without control characters, limits not
+  /// negative, and a key must not belong to two tenants. Errors are `core::Error`, which name the place but no key.
   [[nodiscard]] static boost::leaf::result<Directory> create(std::vector<Declaration> declarations);
 
   /// @return The tenant that holds a key, or null.
