Free sent bytes of a stream whose peer lags behind

Cause: bytes were appended to one chunk while any of it was unsent. With a constant backlog it never emptied, and all bytes sent so far stayed in memory. Change: a chunk of copied bytes takes no further bytes from 64 KB on.

--- a/src/damaskthread/mesh/stream.cc
+++ b/src/damaskthread/mesh/stream.cc
@@ -22,6 +22,9 @@
 constexpr std::size_t kReadBufferBytes = std::size_t{64} << 10U;
 // Limits consecutive reads, so that one connection cannot starve the others.
 constexpr int kMaxConsecutiveReads = 4;
+// A chunk of copied bytes is freed once all of it was sent. Appending without end to one chunk would keep the sent
+// bytes for as long as the peer lags behind.
+constexpr std::size_t kMaxChunkBytes = std::size_t{64} << 10U;
 // How long a peer has to close its side after the send side was shut down.
 constexpr auto kLingerTimeout = std::chrono::seconds(2);
 
@@ -136,7 +139,9 @@
 
 void Stream::write(std::string_view bytes) {
   if (!open_ || closing_after_write_ || bytes.empty()) return;
-  if (chunks_.empty() || chunks_.back().shared != nullptr) chunks_.emplace_back();
+  const bool appendable =
+      !chunks_.empty() && chunks_.back().shared == nullptr && chunks_.back().copied.size() < kMaxChunkBytes;
+  if (!appendable) chunks_.emplace_back();
   chunks_.back().copied.append(bytes);
   unsent_bytes_ += bytes.size();
   if (!write_pending_) flush();
