Free the buffer of a request's received bytes once they are parsed

Cause: the buffer kept the size of a read until the request was complete. Callers that stop within a body held up to twice the memory that was counted for them.

--- a/src/damaskthread/mesh/http_codec.cc
+++ b/src/damaskthread/mesh/http_codec.cc
@@ -104,6 +104,10 @@
 
 ReadState RequestReader::parse_pending() {
   const ReadState state = parse(*parser_, pending_);
+  // Frees the space of the parsed bytes, which is as large as a read and not counted.
+  if (pending_.size() <= core::kMaxIdleBufferBytes && pending_.capacity() > core::kMaxIdleBufferBytes) {
+    std::string(pending_).swap(pending_);
+  }
   if (header_memory_ == 0 && parser_->is_header_done()) {
     header_memory_ = parser_->get().target().size();
     for (const auto& field : parser_->get()) {
--- a/test/damaskthread/mesh/http_codec_test.cc
+++ b/test/damaskthread/mesh/http_codec_test.cc
@@ -1,9 +1,11 @@
 #include "damaskthread/mesh/http_codec.h"
 
 #include <doctest/doctest.h>
+#include <malloc.h>
 
 #include <algorithm>
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -76,4 +78,28 @@
   }
 }
 
+// The buffer of received bytes kept its size after they were parsed, so that callers that stop within a body held about
+// twice the memory that was counted for them.
+TEST_CASE("an incomplete body takes little more memory than the bytes that are counted for it") {
+  constexpr std::size_t kReaders = 100;
+  const std::string data(60'000, 'x');
+  const std::string head = "POST / HTTP/1.1\r\nHost: x\r\n";
+  for (const std::string& request : {head + "Content-Length: 60001\r\n\r\n" + data,
+                                     head + "Transfer-Encoding: chunked\r\n\r\nea60\r\n" + data + "\r\n1"}) {
+    std::vector<std::unique_ptr<RequestReader>> readers;
+    readers.reserve(kReaders);
+    std::size_t counted = 0;
+    const auto before = ::mallinfo2();
+    for (std::size_t i = 0; i < kReaders; ++i) {
+      readers.push_back(std::make_unique<RequestReader>(16'384, 1'000'000));
+      REQUIRE(readers.back()->add(request) == ReadState::kNeedMore);
+      counted += readers.back()->held_bytes();
+    }
+    const auto after = ::mallinfo2();
+    const std::size_t allocated = after.uordblks + after.hblkhd - before.uordblks - before.hblkhd;
+    CHECK(counted >= kReaders * data.size());
+    CHECK(allocated < counted + counted / 4);
+  }
+}
+
 }  // namespace damaskthread::mesh
