Keep a connection whose response is not sent completely

Cause: a new connection beyond the limit took the place of the quietest one without a request in progress, also while that one was still receiving its response, which was cut off. Change: a connection with unsent bytes counts as one with a request.

--- a/src/damaskthread/mesh/http_listener.h
+++ b/src/damaskthread/mesh/http_listener.h
@@ -76,8 +76,10 @@
   /// @brief Rejects the request that is being read, which has not run, and closes the connection. Requests in progress
   /// are answered first.
   void evict();
-  /// @return Whether any request was passed to the handler and is not answered, or waits for that.
-  [[nodiscard]] bool has_requests() const noexcept { return !exchanges_.empty() || waiting_request_.has_value(); }
+  /// @return Whether any request is not answered, or its response not sent completely.
+  [[nodiscard]] bool has_requests() const noexcept {
+    return !exchanges_.empty() || waiting_request_.has_value() || stream_->unsent_bytes() > 0;
+  }
   /// @brief Releases the memory of requests that are being read, when the connection ends.
   void release_memory() noexcept;
   /// @return Bytes of requests that are being read or wait for the requests in front of them.
--- a/test/damaskthread/mesh/http_listener_test.cc
+++ b/test/damaskthread/mesh/http_listener_test.cc
@@ -313,6 +313,25 @@
   CHECK(fixture.wait([&] { return fixture.closed; }));
 }
 
+// The quietest connection may still be receiving its response, which was cut off.
+TEST_CASE("a new connection does not take the place of one whose response is not sent completely") {
+  HttpListenerFixture fixture;
+  fixture.answer_immediately = false;
+  fixture.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 1; }));
+  const std::string body(std::size_t{6} << 20U, 'x');
+  fixture.requests.front()->answer({200, {}, body});
+  std::vector<Tcp::socket> others;
+  for (int i = 0; i < 100; ++i) {
+    others.emplace_back(fixture.io);
+    others.back().connect({boost::asio::ip::make_address("127.0.0.1"), fixture.listener.port()});
+    fixture.io.run_for(milliseconds(1));
+    fixture.io.restart();
+  }
+  CHECK(fixture.wait([&] { return fixture.received.size() > body.size() || fixture.closed; }));
+  CHECK(fixture.received.size() > body.size());
+}
+
 TEST_CASE("a request with conflicting lengths or beyond the limits is rejected and its connection closed") {
   const std::string huge(20'000, 'x');
   const std::vector<std::pair<std::string, std::string>> cases = {
