Make the soak see a restore that daemons do not notice

Cause: a daemon that ignores the era of the store passed the soak: the store was always away before its restore, so that failed calls made the daemons read everything again, and nobody looked at the member entries. Change: only half of the restores follow an absence; the operator writes further entries, which reach the offsets assigned before; a departure that the restored store has lost must be in it again within the time for the effects of a fault.

--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -57,6 +57,7 @@
 // Large enough to arrive in many reads and to be cut by the faults.
 constexpr std::size_t kMaxDownloadBytes = 600'000;
 constexpr std::size_t kMaxPipelined = 5;
+constexpr int kOtherEntries = 20;
 // Up to the time that a request takes, so that requests arrive before, with and after responses in front of them.
 constexpr milliseconds kMaxPause{40};
 // Shared by all keys, so that a search for it in the logs finds any of them.
@@ -185,9 +186,11 @@
   void forget_history(Vm& /*vm*/, milliseconds /*length*/) {
     fleet_.on_loop([&] { fleet_.store().forget_history(); });
   }
-  // The store is away, returns from the last backup, and the operator writes the configuration again or the next one.
+  // The store returns from the last backup, in half of the cases after it was away, and the operator writes the
+  // configuration and other entries again.
   void restore_store(Vm& vm, milliseconds length) {
-    refuse_store(vm, length / 4);
+    // Failed calls make daemons read everything again, so that only a restore without them tests the era.
+    if (random_() % 2 == 0) refuse_store(vm, length / 4);
     fleet_.on_loop([&] { fleet_.store().restore(); });
     std::this_thread::sleep_for(length / 4);
     changed_at_ms_ = now_ms();
@@ -196,6 +199,10 @@
     } else {
       fleet_.publish_again();
     }
+    // Enough to reach the offsets that were assigned before the restore.
+    fleet_.on_loop([&] {
+      for (int i = 0; i < kOtherEntries; ++i) fleet_.store().write_as_operator("other", "x");
+    });
     changed_at_ms_ = now_ms();
     store_disturbed_until_ms_ = time_after(kAftermath);
   }
@@ -203,13 +210,23 @@
   void replace_server_of_restored_store(Vm& vm, milliseconds length) {
     fleet_.on_loop([&] { fleet_.store().back_up(); });
     fleet_.on_loop([&] { vm.server->leave(); });
-    std::this_thread::sleep_for(milliseconds(200));
+    std::this_thread::sleep_for(milliseconds(500));
+    const std::string recorded = member_entry(vm);
     restore_store(vm, length);
+    const std::int64_t end = time_after(kAftermath);
+    while (member_entry(vm) != recorded && now_ms() < end) std::this_thread::sleep_for(milliseconds(50));
+    if (member_entry(vm) != recorded) report_violation(vm.name + " did not record the departure of its server again");
+    disturbed_until_ms_[vm.name] = time_after(length + kAftermath);
     kill_daemon(vm, length);
     std::this_thread::sleep_for(seconds(3));
     fleet_.on_loop([&] { vm.server->crash(); });
     fleet_.on_loop([&] { vm.server->start(); });
   }
+  std::string member_entry(const Vm& vm) {
+    std::string entry;
+    fleet_.on_loop([&] { entry = fleet_.store().member("127.0.0.1:" + std::to_string(vm.peer_proxy_port)); });
+    return entry;
+  }
   void change_configuration(Vm& /*vm*/, milliseconds /*length*/) {
     // Set twice, since callers see the new version while it is being written.
     changed_at_ms_ = now_ms();
