List the servers of a service with the terms of their placement cost

Operators could not see why a request went to one server and not to another: the cost was one number inside choose. The cost is now a set of terms whose total choose compares as before, and candidates lists all servers of a service with these terms, the reason for exclusion, the cheapest server and those that the random factors can still prefer.

--- a/src/damaskthread/placement/fwd.h
+++ b/src/damaskthread/placement/fwd.h
@@ -3,6 +3,8 @@
 
 namespace damaskthread::placement {
 
+struct Candidate;
+struct PlacementCost;
 struct ServerReport;
 struct PlacementRequest;
 class ServerPool;
--- a/src/damaskthread/placement/server_pool.cc
+++ b/src/damaskthread/placement/server_pool.cc
@@ -28,6 +28,22 @@
 
 }  // namespace
 
+std::string_view to_string(Exclusion exclusion) noexcept {
+  switch (exclusion) {
+    case Exclusion::kNone:
+      return "none";
+    case Exclusion::kUnreachable:
+      return "unreachable";
+    case Exclusion::kNotReady:
+      return "not ready";
+    case Exclusion::kTried:
+      return "already tried";
+    case Exclusion::kNotAllowed:
+      return "not allowed";
+  }
+  return "unknown";
+}
+
 ServerPool::Server* ServerPool::find(const std::string& endpoint) {
   const auto found = std::find_if(servers_.begin(), servers_.end(),
                                   [&endpoint](const Server& server) { return server.endpoint == endpoint; });
@@ -81,48 +97,57 @@
   std::erase_if(servers_, [&endpoint](const Server& server) { return server.endpoint == endpoint; });
 }
 
-double ServerPool::cost(const Server& server, const PlacementRequest& request, double mean_run_seconds,
-                        core::TimePoint now) const {
-  const double relative_run_time = server.relative_run_time * expected_work_time(server, mean_run_seconds, now);
+double ServerPool::mean_run_seconds(std::string_view kind) const {
+  const auto found = mean_run_seconds_by_kind_.find(std::string(kind));
+  return found == mean_run_seconds_by_kind_.end() ? 0 : found->second;
+}
+
+Exclusion ServerPool::exclusion(const Server& server, const PlacementRequest& request) noexcept {
+  if (!server.reachable) return Exclusion::kUnreachable;
+  if (!server.report.ready) return Exclusion::kNotReady;
+  if (contains(request.tried, server.endpoint)) return Exclusion::kTried;
+  if (!request.allowed.empty() && !contains(request.allowed, server.endpoint)) return Exclusion::kNotAllowed;
+  return Exclusion::kNone;
+}
+
+PlacementCost ServerPool::cost(const Server& server, const PlacementRequest& request, double mean_run_seconds,
+                               core::TimePoint now) const {
+  PlacementCost cost;
+  cost.relative_run_time = server.relative_run_time * expected_work_time(server, mean_run_seconds, now);
   const double load = utilization(server.report.load, server.sent_since_report);
-  double congestion_cost = 0;
   if (load >= 1) {
-    congestion_cost = options_.saturation_cost + options_.queue_cost * (load - 1);
+    cost.congestion = options_.saturation_cost + options_.queue_cost * (load - 1);
   } else if (load > options_.congestion_threshold) {
     const double fraction = (load - options_.congestion_threshold) / (1 - options_.congestion_threshold);
-    congestion_cost = options_.saturation_cost * fraction * fraction;
+    cost.congestion = options_.saturation_cost * fraction * fraction;
   }
   const double objective = std::chrono::duration<double>(request.objective).count();
-  double run_time_weight = 1;
-  if (objective > 0 && mean_run_seconds > 0) {
-    const double expected_share = relative_run_time * mean_run_seconds / objective;
-    run_time_weight = std::clamp(options_.run_time_weight * expected_share, options_.min_run_time_weight, 1.0);
-  }
-  double total = relative_run_time * (run_time_weight + congestion_cost) + options_.failure_cost * server.failure_share;
-  if (!server.same_zone) total += options_.cross_zone_cost;
+  cost.run_time_weight = 1;
   if (objective > 0 && mean_run_seconds > 0) {
+    const double expected_share = cost.relative_run_time * mean_run_seconds / objective;
+    cost.run_time_weight = std::clamp(options_.run_time_weight * expected_share, options_.min_run_time_weight, 1.0);
     // Run times spread to about twice their mean; a server that would exceed the objective at that run time is charged
     // the excess.
-    const double excess = 2 * relative_run_time * (1 + congestion_cost) * mean_run_seconds - objective;
-    if (excess > 0) total += excess / mean_run_seconds;
+    const double excess = 2 * cost.relative_run_time * (1 + cost.congestion) * mean_run_seconds - objective;
+    if (excess > 0) cost.objective_excess = excess / mean_run_seconds;
   }
-  return total;
+  cost.failures = options_.failure_cost * server.failure_share;
+  if (!server.same_zone) cost.cross_zone = options_.cross_zone_cost;
+  const bool overdue = server.last_load_at && now - *server.last_load_at > options_.heartbeat_overdue_after;
+  if (server.avoided_until > now || overdue) cost.avoidance = options_.saturation_cost + options_.queue_cost;
+  return cost;
 }
 
 std::optional<std::string> ServerPool::choose(const PlacementRequest& request, core::TimePoint now,
                                               core::Random& random) const {
-  const auto kind_mean = mean_run_seconds_by_kind_.find(std::string(request.kind));
-  const double mean_run_seconds = kind_mean == mean_run_seconds_by_kind_.end() ? 0 : kind_mean->second;
+  const double mean = mean_run_seconds(request.kind);
   std::uniform_real_distribution<double> jitter(1 - kJitter, 1 + kJitter);
   const Server* best = nullptr;
   double best_cost = std::numeric_limits<double>::max();
   for (const Server& server : servers_) {
-    if (server.report.service != request.service || !server.reachable || !server.report.ready) continue;
-    if (contains(request.tried, server.endpoint)) continue;
-    if (!request.allowed.empty() && !contains(request.allowed, server.endpoint)) continue;
-    double candidate = cost(server, request, mean_run_seconds, now) * jitter(random);
-    const bool overdue = server.last_load_at && now - *server.last_load_at > options_.heartbeat_overdue_after;
-    if (server.avoided_until > now || overdue) candidate += options_.saturation_cost + options_.queue_cost;
+    if (server.report.service != request.service) continue;
+    if (exclusion(server, request) != Exclusion::kNone) continue;
+    const double candidate = cost(server, request, mean, now).total(jitter(random));
     if (candidate >= best_cost) continue;
     best = &server;
     best_cost = candidate;
@@ -131,6 +156,35 @@
   return best->endpoint;
 }
 
+std::vector<Candidate> ServerPool::candidates(const PlacementRequest& request, core::TimePoint now) const {
+  const double mean = mean_run_seconds(request.kind);
+  std::vector<Candidate> result;
+  // Whatever the random factors are, some server costs no more than this.
+  double highest_minimum = std::numeric_limits<double>::max();
+  for (const Server& server : servers_) {
+    if (server.report.service != request.service) continue;
+    Candidate& candidate = result.emplace_back();
+    candidate.endpoint = server.endpoint;
+    candidate.same_zone = server.same_zone;
+    candidate.exclusion = exclusion(server, request);
+    candidate.cost = cost(server, request, mean, now);
+    if (candidate.exclusion != Exclusion::kNone) continue;
+    highest_minimum = std::min(highest_minimum, candidate.cost.total(1 + kJitter));
+  }
+  std::stable_sort(result.begin(), result.end(), [](const Candidate& left, const Candidate& right) {
+    const bool left_excluded = left.exclusion != Exclusion::kNone;
+    const bool right_excluded = right.exclusion != Exclusion::kNone;
+    if (left_excluded != right_excluded) return right_excluded;
+    return left.cost.total() < right.cost.total();
+  });
+  for (Candidate& candidate : result) {
+    if (candidate.exclusion != Exclusion::kNone) break;
+    candidate.cheapest = &candidate == &result.front();
+    candidate.possible = candidate.cost.total(1 - kJitter) <= highest_minimum;
+  }
+  return result;
+}
+
 void ServerPool::update_load(const std::string& endpoint, const gate::Load& load, core::TimePoint now) {
   Server* const server = find(endpoint);
   if (server == nullptr) return;
--- a/src/damaskthread/placement/server_pool.h
+++ b/src/damaskthread/placement/server_pool.h
@@ -4,6 +4,7 @@
 /// @file
 /// @brief Selects a server for each request from the load that daemons report and from measured run times.
 
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
@@ -37,6 +38,54 @@
   std::span<const std::string> allowed;
 };
 
+/// Why a server cannot get a request.
+enum class Exclusion : std::uint8_t {
+  kNone,
+  kUnreachable,  ///< Its daemon is not reachable.
+  kNotReady,     ///< It does not accept new requests.
+  kTried,        ///< The request has already been sent to it.
+  kNotAllowed,   ///< The request is restricted to other servers.
+};
+[[nodiscard]] std::string_view to_string(Exclusion exclusion) noexcept;
+
+/// Terms of the cost of a server for one request, in mean run times of the kind unless stated otherwise.
+struct PlacementCost {
+  /// Expected run time relative to the mean of the kind.
+  double relative_run_time = 0;
+  /// Weight of the run time; lower for requests that finish far below their objective.
+  double run_time_weight = 0;
+  /// Cost of occupied slots and of queued requests, in run times of this server.
+  double congestion = 0;
+  /// Cost of recent failures.
+  double failures = 0;
+  /// Cost of leaving the local failure domain.
+  double cross_zone = 0;
+  /// Time by which the request is expected to exceed its latency objective.
+  double objective_excess = 0;
+  /// Added after a refusal and while a heartbeat is overdue.
+  double avoidance = 0;
+
+  [[nodiscard]] double run_time_cost() const noexcept { return relative_run_time * run_time_weight; }
+  [[nodiscard]] double congestion_cost() const noexcept { return relative_run_time * congestion; }
+  /// @param jitter Random factor of this choice; it does not apply to the avoidance.
+  [[nodiscard]] double total(double jitter = 1) const noexcept {
+    return (relative_run_time * (run_time_weight + congestion) + failures + cross_zone + objective_excess) * jitter +
+           avoidance;
+  }
+};
+
+/// A server of a service, as a request placed now would find it.
+struct Candidate {
+  std::string endpoint;
+  bool same_zone = false;
+  Exclusion exclusion = Exclusion::kNone;
+  PlacementCost cost;
+  /// It has the lowest cost of all servers that are not excluded.
+  bool cheapest = false;
+  /// It may be chosen, since its cost exceeds the lowest by no more than the random factors permit.
+  bool possible = false;
+};
+
 struct ServerPoolOptions {
   /// Cost of leaving the local failure domain, in mean run times. Traffic between failure domains is billed to the
   /// operators of callers; one additional run time is rarely noticed while latency is far below the objective.
@@ -95,6 +144,10 @@
   [[nodiscard]] std::optional<std::string> choose(const PlacementRequest& request, core::TimePoint now,
                                                   core::Random& random) const;
 
+  /// @brief Lists all servers of the service of a request with the terms of their cost, as `choose` compares them.
+  /// @return Servers that are not excluded first, by ascending cost.
+  [[nodiscard]] std::vector<Candidate> candidates(const PlacementRequest& request, core::TimePoint now) const;
+
   /// @brief Updates the load from a response or heartbeat, which is newer than the last report.
   void update_load(const std::string& endpoint, const gate::Load& load, core::TimePoint now);
   /// @brief Records that a request was sent to a server.
@@ -138,8 +191,11 @@
   void set_load(Server& server, const gate::Load& load, core::TimePoint now);
   /// Work time that a request of this run time is expected to meet if it is placed now.
   [[nodiscard]] double expected_work_time(const Server& server, double mean_run_seconds, core::TimePoint now) const;
-  [[nodiscard]] double cost(const Server& server, const PlacementRequest& request, double mean_run_seconds,
-                            core::TimePoint now) const;
+  /// Mean run time of the kind in seconds; zero if none has been measured.
+  [[nodiscard]] double mean_run_seconds(std::string_view kind) const;
+  [[nodiscard]] static Exclusion exclusion(const Server& server, const PlacementRequest& request) noexcept;
+  [[nodiscard]] PlacementCost cost(const Server& server, const PlacementRequest& request, double mean_run_seconds,
+                                   core::TimePoint now) const;
 
   ServerPoolOptions options_;
   std::vector<Server> servers_;
--- a/test/damaskthread/placement/server_pool_test.cc
+++ b/test/damaskthread/placement/server_pool_test.cc
@@ -259,6 +259,52 @@
   CHECK(choices(pool, request, 10)["b"] == 10);
 }
 
+// Guards against a list that disagrees with the decision: `choose` takes only servers that the list calls possible, and
+// all of them, if their costs are close.
+TEST_CASE("the list of candidates agrees with the choice and gives the reasons for exclusion") {
+  ServerPool pool;
+  add(pool, "near", true, report(30));
+  add(pool, "similar", true, report(31));
+  add(pool, "far", false, report(30));
+  add(pool, "tried", true, report(0));
+  add(pool, "cut", true, report(0));
+  pool.set_reachable("cut", false);
+  add(pool, "leaving", true, {"s", false, {40, 0, 0, milliseconds{50}}});
+  add(pool, "other", true, {"t", true, {40, 0, 0, milliseconds{50}}});
+  for (int i = 0; i < 20; ++i) pool.on_finished("far", "k", milliseconds{50}, true);
+  pool.on_refused("far", kStart);
+  const std::vector<std::string> tried = {"tried"};
+  PlacementRequest request = any_request;
+  request.tried = tried;
+  const std::vector<Candidate> candidates = pool.candidates(request, kStart);
+  std::map<std::string, Candidate> by_endpoint;
+  for (const Candidate& candidate : candidates) by_endpoint[candidate.endpoint] = candidate;
+  REQUIRE(by_endpoint.size() == 6);
+  CHECK(by_endpoint["tried"].exclusion == Exclusion::kTried);
+  CHECK(by_endpoint["cut"].exclusion == Exclusion::kUnreachable);
+  CHECK(by_endpoint["leaving"].exclusion == Exclusion::kNotReady);
+  CHECK(candidates[0].endpoint == "near");
+  CHECK(candidates[0].cheapest);
+  CHECK_FALSE(candidates[1].cheapest);
+  std::map<std::string, int> chosen = choices(pool, request, 1000);
+  for (const auto& [endpoint, candidate] : by_endpoint) CHECK((chosen[endpoint] > 0) == candidate.possible);
+  CHECK(by_endpoint["similar"].possible);
+
+  const PlacementCost& far = by_endpoint["far"].cost;
+  CHECK(far.cross_zone == ServerPoolOptions().cross_zone_cost);
+  CHECK(far.avoidance == ServerPoolOptions().saturation_cost + ServerPoolOptions().queue_cost);
+  CHECK(far.failures > 0);
+  CHECK(far.congestion_cost() > 0);
+  CHECK(far.total() == doctest::Approx(far.run_time_cost() + far.congestion_cost() + far.failures + far.cross_zone +
+                                       far.objective_excess + far.avoidance));
+  CHECK(by_endpoint["near"].cost.avoidance == 0);
+
+  const std::vector<std::string> allowed = {"far"};
+  request.allowed = allowed;
+  CHECK(pool.candidates(request, kStart).front().endpoint == "far");
+  CHECK(pool.candidates(request, kStart).back().exclusion != Exclusion::kNone);
+}
+
 // One of three servers is 2.3 times slower, at 93% of the total capacity.
 TEST_CASE("near capacity the mean wait is below the run time of the fastest server") {
   constexpr double kPerEntrance = 0.93 * PlacementSimulation::kSlots * (1 / 36.0 + 1 / 36.0 + 1 / 85.0) / 3;
