Return the state of a tenant's quota without using a credit

A decision on a request consumed a credit or counted a waiting request, so that nothing could be asked about a quota. The decision is now a const function, which arrive and retry put into effect and state reports with the unexpired credits, the waiting requests and the rates.

--- a/src/damaskthread/mesh/quota_service.h
+++ b/src/damaskthread/mesh/quota_service.h
@@ -39,6 +39,7 @@
   [[nodiscard]] std::vector<std::string> coordinator_candidates() const;
 
   [[nodiscard]] quota::Ledger& ledger() noexcept { return ledger_; }
+  [[nodiscard]] const quota::Ledger& ledger() const noexcept { return ledger_; }
   /// @brief Sends a report if one is due; to be called several times a second and when a request waits for credit.
   void tick(core::TimePoint now);
   /// @brief Processes a report as the coordinator.
--- a/src/damaskthread/quota/fwd.h
+++ b/src/damaskthread/quota/fwd.h
@@ -7,6 +7,7 @@
 struct Report;
 struct Credit;
 struct Grant;
+struct QuotaState;
 class Ledger;
 class Coordinator;
 
--- a/src/damaskthread/quota/ledger.cc
+++ b/src/damaskthread/quota/ledger.cc
@@ -15,6 +15,18 @@
 
 }  // namespace
 
+std::string_view to_string(Admission admission) noexcept {
+  switch (admission) {
+    case Admission::kAdmit:
+      return "admit";
+    case Admission::kWait:
+      return "wait";
+    case Admission::kReject:
+      return "reject";
+  }
+  return "unknown";
+}
+
 void Ledger::Rate::decay(core::TimePoint now, core::Duration time_constant) noexcept {
   per_second *= std::exp(-to_seconds(now - updated) / to_seconds(time_constant));
   updated = now;
@@ -43,14 +55,35 @@
   return found == accounts_.end() ? nullptr : &found->second;
 }
 
+int Ledger::usable_credits(const Account& account, core::TimePoint now) noexcept {
+  return now <= account.expires_at ? account.credits : 0;
+}
+
+Admission Ledger::decide(const Account& account, core::TimePoint now) noexcept {
+  if (usable_credits(account, now) > 0) return Admission::kAdmit;
+  return now < account.rejects_until ? Admission::kReject : Admission::kWait;
+}
+
+std::optional<QuotaState> Ledger::state(std::string_view tenant, core::TimePoint now) const {
+  const auto found = accounts_.find(tenant);
+  if (found == accounts_.end()) return std::nullopt;
+  const Account& account = found->second;
+  Rate arrivals = account.arrivals;
+  arrivals.decay(now, options_.time_constant);
+  Rate admitted = account.admitted;
+  admitted.decay(now, options_.time_constant);
+  return QuotaState{decide(account, now), usable_credits(account, now), account.waiting, arrivals.per_second,
+                    admitted.per_second};
+}
+
 void Ledger::expire(Account& account, core::TimePoint now) noexcept {
-  if (account.credits == 0 || now <= account.expires_at) return;
+  if (usable_credits(account, now) == account.credits) return;
   account.returned += std::exchange(account.credits, 0);
 }
 
 bool Ledger::consume(Account& account, core::TimePoint now) noexcept {
   expire(account, now);
-  if (account.credits == 0) return false;
+  if (decide(account, now) != Admission::kAdmit) return false;
   --account.credits;
   account.admitted.add(now, options_.time_constant);
   return true;
@@ -61,10 +94,11 @@
   if (account == nullptr) return Admission::kAdmit;
   account->arrivals.add(now, options_.time_constant);
   if (consume(*account, now)) return Admission::kAdmit;
-  if (now < account->rejects_until) return Admission::kReject;
+  const Admission admission = decide(*account, now);
+  if (admission == Admission::kReject) return admission;
   ++account->waiting;
   shortage_report_ = std::min(shortage_report_, std::max(now, account->next_request));
-  return Admission::kWait;
+  return admission;
 }
 
 Admission Ledger::retry(std::string_view tenant, core::TimePoint now) {
@@ -74,9 +108,9 @@
     account->waiting = std::max(0, account->waiting - 1);
     return Admission::kAdmit;
   }
-  if (now >= account->rejects_until) return Admission::kWait;
-  account->waiting = std::max(0, account->waiting - 1);
-  return Admission::kReject;
+  const Admission admission = decide(*account, now);
+  if (admission == Admission::kReject) account->waiting = std::max(0, account->waiting - 1);
+  return admission;
 }
 
 void Ledger::abandon(std::string_view tenant) noexcept {
--- a/src/damaskthread/quota/ledger.h
+++ b/src/damaskthread/quota/ledger.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -47,6 +48,21 @@
   kReject,  ///< The tenant is at its limit.
 };
 
+[[nodiscard]] std::string_view to_string(Admission admission) noexcept;
+
+/// State of one tenant's quota at a daemon.
+struct QuotaState {
+  /// Decision that a request arriving now would get.
+  Admission admission = Admission::kWait;
+  /// Credits that have not expired.
+  int credits = 0;
+  /// Requests that wait for a credit.
+  int waiting = 0;
+  /// Averages of arriving and admitted requests.
+  double arrivals_per_second = 0;
+  double admitted_per_second = 0;
+};
+
 /// @brief The credits of one daemon. A request is decided without a message and without allocating memory, as long as
 /// there are credits; only the first one after a pause waits for a grant.
 ///
@@ -65,6 +81,9 @@
 
   /// @brief Decides on a new request. After `kWait`, `retry` or `abandon` must follow.
   [[nodiscard]] Admission arrive(std::string_view tenant, core::TimePoint now);
+  /// @brief Returns the state of a tenant's quota without using a credit.
+  /// @return Nothing if the tenant has no quota.
+  [[nodiscard]] std::optional<QuotaState> state(std::string_view tenant, core::TimePoint now) const;
   /// @brief Decides on a waiting request again.
   [[nodiscard]] Admission retry(std::string_view tenant, core::TimePoint now);
   /// @brief Removes a waiting request that gave up.
@@ -108,6 +127,9 @@
 
   [[nodiscard]] Account* find(std::string_view tenant) noexcept;
   [[nodiscard]] bool consume(Account& account, core::TimePoint now) noexcept;
+  /// Decision on a request, which `arrive` and `retry` put into effect.
+  [[nodiscard]] static Admission decide(const Account& account, core::TimePoint now) noexcept;
+  static int usable_credits(const Account& account, core::TimePoint now) noexcept;
   static void expire(Account& account, core::TimePoint now) noexcept;
 
   LedgerOptions options_;
--- a/test/damaskthread/quota/quota_test.cc
+++ b/test/damaskthread/quota/quota_test.cc
@@ -269,6 +269,29 @@
   CHECK(ledger.arrive("t", now + seconds(1)) == Admission::kWait);
 }
 
+// Guards against a state that disagrees with the decision on the next request, or that uses up a credit.
+TEST_CASE("the state of a quota tells what the next request gets and changes nothing") {
+  const tenant::Tenant tenant{"t", std::nullopt, 10, 0};
+  Ledger ledger;
+  ledger.set_tenants({&tenant, 1});
+  const core::TimePoint now{seconds(1)};
+  CHECK(!ledger.state("x", now));
+  CHECK(ledger.state("t", now)->admission == Admission::kWait);
+  ledger.on_grant({1, true, {{"t", 1, true}}}, now);
+  CHECK(ledger.state("t", now)->credits == 1);
+  CHECK(ledger.state("t", now + seconds(1))->credits == 0);
+  CHECK(ledger.state("t", now + seconds(1))->admission == Admission::kWait);
+  CHECK(ledger.state("t", now)->admission == Admission::kAdmit);
+  CHECK(ledger.arrive("t", now) == Admission::kAdmit);
+  CHECK(ledger.state("t", now)->admission == Admission::kReject);
+  CHECK(ledger.arrive("t", now) == Admission::kReject);
+  CHECK(ledger.state("t", now)->arrivals_per_second == doctest::Approx(2));
+  CHECK(ledger.state("t", now)->admitted_per_second == doctest::Approx(1));
+  const core::TimePoint later = now + LedgerOptions().rejection_time;
+  CHECK(ledger.arrive("t", later) == Admission::kWait);
+  CHECK(ledger.state("t", later)->waiting == 1);
+}
+
 TEST_CASE("tenants without a quota and unknown tenants are admitted") {
   const tenant::Tenant unlimited{"u", std::nullopt, 0, 0};
   Ledger ledger;
