Parse and encode the parameters of a query

The explanation of a request takes a path, which may have a query of its own, as a parameter. Invalid percent-encoding is reported instead of being passed on.

--- a/src/damaskthread/http/message.h
+++ b/src/damaskthread/http/message.h
@@ -7,6 +7,7 @@
 #include <compare>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -67,6 +68,20 @@
 /// @param headers Headers of a forwarded message.
 void remove_hop_by_hop(Headers& headers);
 
+/// A parameter of a query, percent-decoded.
+struct QueryParameter {
+  std::string name;
+  std::string value;
+};
+
+/// @brief Parses the query of a target, `name=value` pairs separated by `&` (RFC 3986). A plus sign stands for itself.
+/// @param target Path and query; without a query there are no parameters.
+/// @return The parameters in their order, or nothing if a percent-encoding is invalid.
+[[nodiscard]] std::optional<std::vector<QueryParameter>> parse_query(std::string_view target);
+
+/// @brief Percent-encodes all characters that are not unreserved (RFC 3986, section 2.3).
+[[nodiscard]] std::string encode_query_value(std::string_view text);
+
 /// @brief Parses `ip:port`.
 /// @param text The address; IPv6 addresses are in brackets.
 /// @param endpoint Set on success.
--- a/test/damaskthread/http/message_test.cc
+++ b/test/damaskthread/http/message_test.cc
@@ -13,6 +13,23 @@
   CHECK(headers.front().name == "X-Kept");
 }
 
+// Guards against values that change on the way, such as a path with its own query.
+TEST_CASE("a value survives encoding and parsing, and an invalid escape is reported") {
+  const std::string value = "/a b?c=d&e=%41+\xC3\xA4";
+  const auto parameters = parse_query("/p?x=" + encode_query_value(value) + "&&y");
+  REQUIRE(parameters);
+  REQUIRE(parameters->size() == 2);
+  CHECK((*parameters)[0].name == "x");
+  CHECK((*parameters)[0].value == value);
+  CHECK((*parameters)[1].name == "y");
+  CHECK((*parameters)[1].value.empty());
+  CHECK((*parse_query("/p?x=/a?b=c+d"))[0].value == "/a?b=c+d");
+  CHECK(parse_query("/p")->empty());
+  for (const char* bad : {"/p?x=%", "/p?x=%4", "/p?x=%4g", "/p?%zz=1", "/p?x=%-1", "/p?x=%+1"}) {
+    CHECK_FALSE(parse_query(bad).has_value());
+  }
+}
+
 TEST_CASE("endpoints are IP addresses with a port") {
   Endpoint endpoint;
   CHECK(parse_endpoint("10.0.0.1:80", endpoint));
