Explain at the admin listener where a request would go

To learn why a request was refused or placed on a server, operators had to send one and read the logs. GET /explain takes host, path and the name of a tenant and returns the route, the priority, the state of the tenant's quota, and for each service of the route the admitted share with the service that limits it and the servers with their costs. The functions that decide on requests are shared; explain is const and uses no counter, random number, interest or credit. The value of an unknown tenant is not repeated, since it may be a key.

--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -22,6 +22,7 @@
 #include "damaskthread/entrance/call_graph.h"
 #include "damaskthread/mesh/clock.h"
 #include "damaskthread/mesh/event_log.h"
+#include "damaskthread/mesh/explanation.h"
 #include "damaskthread/mesh/fleet.h"
 #include "damaskthread/mesh/http_listener.h"
 #include "damaskthread/mesh/ingress.h"
@@ -450,6 +451,9 @@
       response.body = registry.expose();
     } else if (caller_request.request.target == "/status") {
       response.body = status_json();
+    } else if (is_explain_target(caller_request.request.target)) {
+      response = answer_explain(caller_request.request,
+                                [this](const ExplainQuery& query) { return ingress.explain(query, now()); });
     } else {
       response.status = kNotFound;
     }
--- a/src/damaskthread/mesh/fwd.h
+++ b/src/damaskthread/mesh/fwd.h
@@ -3,6 +3,8 @@
 
 namespace damaskthread::mesh {
 
+struct ExplainQuery;
+struct Explanation;
 struct HeaderNames;
 struct MeshSettings;
 struct Policy;
--- a/src/damaskthread/mesh/ingress.cc
+++ b/src/damaskthread/mesh/ingress.cc
@@ -8,6 +8,7 @@
 #include <random>
 #include <utility>
 
+#include "damaskthread/core/error.h"
 #include "damaskthread/mesh/clock.h"
 
 namespace damaskthread::mesh {
@@ -31,6 +32,9 @@
 constexpr double kHonouredRetryAfterShare = 1.0 / 3;
 constexpr double kOverloadPressure = 0.05;
 
+constexpr std::string_view kNoConfiguration = "no configuration yet";
+constexpr std::string_view kNoRoute = "no route";
+constexpr std::string_view kNoValidKey = "no valid key";
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kTooManyRequests = 429;
@@ -56,6 +60,18 @@
   return text.data();
 }
 
+int external_priority(const route::Route& route, const tenant::Tenant* tenant) {
+  return tenant == nullptr ? route.priority : tenant->priority.value_or(route.priority);
+}
+
+placement::PlacementRequest placement_request(const route::Route& route, std::string_view service) {
+  placement::PlacementRequest request;
+  request.service = service;
+  request.kind = route.name;
+  request.objective = route.objective;
+  return request;
+}
+
 double to_milliseconds(core::Duration time) { return std::chrono::duration<double, std::milli>(time).count(); }
 
 }  // namespace
@@ -100,10 +116,10 @@
 void Ingress::handle(const std::shared_ptr<CallerRequest>& caller) {
   const core::TimePoint time = now();
   const HeaderNames& names = dependencies_.adapter.headers();
-  if (table_ == nullptr) return refuse_unrouted(caller, kUnavailable, "no configuration yet", kUnconfiguredRetryAfter);
+  if (table_ == nullptr) return refuse_unrouted(caller, kUnavailable, kNoConfiguration, kUnconfiguredRetryAfter);
   const http::Headers& headers = caller->request.headers;
   const route::Route* route = table_->find(http::find(headers, "Host"), caller->request.target);
-  if (route == nullptr) return refuse_unrouted(caller, kNotFound, "no route", core::Duration::zero());
+  if (route == nullptr) return refuse_unrouted(caller, kNotFound, kNoRoute, core::Duration::zero());
 
   const auto exchange = std::make_shared<Exchange>();
   exchange->number = next_number_++;
@@ -114,7 +130,7 @@
   exchange->priority = route->priority;
   inherit_from_parent(*exchange, time);
   if (!authorize(*exchange)) {
-    return refuse_unrouted(caller, kUnauthorized, "no valid key", core::Duration::zero());
+    return refuse_unrouted(caller, kUnauthorized, kNoValidKey, core::Duration::zero());
   }
   exchange->service = split_.next(*route, random_).service;
   interests_.record_use(exchange->service, time);
@@ -196,9 +212,7 @@
       tenant::check_access(tenants, headers, names.credentials, {exchange.route->is_public, exchange.inner});
   if (!access.allowed) return false;
   exchange.tenant = access.tenant;
-  if (access.tenant != nullptr && !exchange.inner) {
-    exchange.priority = access.tenant->priority.value_or(exchange.priority);
-  }
+  if (!exchange.inner) exchange.priority = external_priority(*exchange.route, access.tenant);
   return true;
 }
 
@@ -221,11 +235,16 @@
 }
 
 std::vector<std::string> Ingress::needed_services(const Exchange& exchange, core::TimePoint now) const {
-  std::vector<std::string> services{exchange.service};
-  for (const std::string& kind : dependencies_.graph.reachable_kinds(exchange.route->name, now)) {
-    const route::Route* const route = exchange.table->find_by_name(kind);
-    if (route == nullptr || route == exchange.route) continue;
-    for (const route::WeightedService& part : route->parts) {
+  return needed_services(*exchange.table, *exchange.route, exchange.service, now);
+}
+
+std::vector<std::string> Ingress::needed_services(const route::RouteTable& table, const route::Route& route,
+                                                  const std::string& service, core::TimePoint now) const {
+  std::vector<std::string> services{service};
+  for (const std::string& kind : dependencies_.graph.reachable_kinds(route.name, now)) {
+    const route::Route* const called = table.find_by_name(kind);
+    if (called == nullptr || called == &route) continue;
+    for (const route::WeightedService& part : called->parts) {
       if (std::find(services.begin(), services.end(), part.service) == services.end()) services.push_back(part.service);
     }
   }
@@ -244,6 +263,51 @@
   return is_admitted;
 }
 
+boost::leaf::result<Explanation> Ingress::explain(const ExplainQuery& query, core::TimePoint now) const {
+  Explanation explanation;
+  if (table_ == nullptr) {
+    explanation.refusal = {kUnavailable, std::string(kNoConfiguration)};
+    return explanation;
+  }
+  explanation.configuration = table_->version();
+  const tenant::Tenant* const tenant = query.tenant ? table_->tenants().find_by_name(*query.tenant) : nullptr;
+  if (query.tenant && tenant == nullptr) {
+    // The value is not repeated, since it may be a key.
+    return boost::leaf::new_error(
+        core::Error{core::ErrorCode::kNotFound, "tenant", "expected the name of a tenant of the configuration"});
+  }
+  explanation.tenant = query.tenant;
+  const route::Route* const route = table_->find(query.host, query.path);
+  if (route == nullptr) {
+    explanation.refusal = {kNotFound, std::string(kNoRoute)};
+    return explanation;
+  }
+  explanation.route = route->name;
+  explanation.priority = external_priority(*route, tenant);
+  if (tenant == nullptr && !table_->tenants().empty() && !route->is_public) {
+    explanation.refusal = {kUnauthorized, std::string(kNoValidKey)};
+  }
+  if (tenant != nullptr && tenant->has_quota()) {
+    explanation.quota = std::as_const(dependencies_.quota).ledger().state(tenant->name, now);
+    if (explanation.quota && explanation.quota->admission == quota::Admission::kReject) {
+      explanation.refusal = {kTooManyRequests, std::string(to_string(core::Cause::kQuota))};
+    }
+  }
+  double total_weight = 0;
+  for (const route::WeightedService& part : route->parts) total_weight += part.weight;
+  for (const route::WeightedService& part : route->parts) {
+    ExplainedService& service = explanation.services.emplace_back();
+    service.service = part.service;
+    service.split_share = total_weight > 0 ? part.weight / total_weight : 1;
+    service.needed = needed_services(*table_, *route, part.service, now);
+    const entrance::Throttle::Limit limit = throttle_.limit(service.needed, explanation.priority);
+    service.admitted_share = std::min(1.0, limit.share);
+    service.limited_by = limit.service;
+    service.candidates = dependencies_.pool.candidates(placement_request(*route, part.service), now);
+  }
+  return explanation;
+}
+
 std::string Ingress::describe_pressure() const {
   std::string text;
   if (table_ == nullptr) return text;
@@ -265,10 +329,7 @@
 }
 
 std::optional<std::string> Ingress::choose(const Exchange& exchange, core::TimePoint now) {
-  placement::PlacementRequest need;
-  need.service = exchange.service;
-  need.kind = exchange.route->name;
-  need.objective = exchange.route->objective;
+  placement::PlacementRequest need = placement_request(*exchange.route, exchange.service);
   need.tried = exchange.tried;
   const bool server_limit_reached =
       static_cast<int>(exchange.reached.size()) >= std::max(1, exchange.route->max_servers);
--- a/src/damaskthread/mesh/ingress.h
+++ b/src/damaskthread/mesh/ingress.h
@@ -4,12 +4,14 @@
 /// @file
 /// @brief Routes requests from callers and from the local server to daemons and returns a response to each.
 
+#include <boost/leaf/result.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "damaskthread/core/types.h"
@@ -17,6 +19,7 @@
 #include "damaskthread/entrance/throttle.h"
 #include "damaskthread/mesh/adapter.h"
 #include "damaskthread/mesh/event_log.h"
+#include "damaskthread/mesh/explanation.h"
 #include "damaskthread/mesh/fleet.h"
 #include "damaskthread/mesh/http_listener.h"
 #include "damaskthread/mesh/local_executor.h"
@@ -67,6 +70,10 @@
   /// @brief Updates the throttle, retries requests that wait for a server and ends those past their deadline.
   void tick(core::TimePoint now);
 
+  /// @brief Explains what would happen to a new external request, without sending it: no counter, random number,
+  /// interest or credit is used. Errors are `core::Error` for a tenant that the configuration does not contain.
+  [[nodiscard]] boost::leaf::result<Explanation> explain(const ExplainQuery& query, core::TimePoint now) const;
+
   /// @brief Formats load and pressure of each service, as seen by this daemon, for the log.
   [[nodiscard]] std::string describe_pressure() const;
 
@@ -177,7 +184,9 @@
   void finish(const ExchangePointer& exchange, http::Response response, std::string_view outcome, core::Cause cause);
   /// Value of Retry-After for a refused request.
   [[nodiscard]] core::Duration retry_delay(const Exchange& exchange, core::TimePoint now);
-  /// The request's service and those that its nested calls are known to reach.
+  /// The service of a request of this route and those that its nested calls are known to reach.
+  [[nodiscard]] std::vector<std::string> needed_services(const route::RouteTable& table, const route::Route& route,
+                                                         const std::string& service, core::TimePoint now) const;
   [[nodiscard]] std::vector<std::string> needed_services(const Exchange& exchange, core::TimePoint now) const;
   [[nodiscard]] bool overloaded(const Exchange& exchange, core::TimePoint now) const;
 
