Print where a request would go with damaskctl where

It sends no operator's token, which mesh daemons do not take. The exit code is 1 if the request would be refused or a service of its route has no server.

--- a/app/damaskctl/main.cc
+++ b/app/damaskctl/main.cc
@@ -16,6 +16,8 @@
 #include "damaskthread/client/explain.h"
 
 ABSL_FLAG(std::string, server, "127.0.0.1:7003", "Admin ports of daemons, separated by commas.");
+ABSL_FLAG(std::string, admin, "", "Admin port of a mesh daemon.");
+ABSL_FLAG(std::string, tenant, "", "Name of the tenant that would send a request.");
 ABSL_FLAG(std::string, token_file, "", "File that holds the operator's token.");
 ABSL_FLAG(std::string, output, "text", "text or json.");
 ABSL_FLAG(std::string, f, "", "File or folder of declarations.");
@@ -56,6 +58,8 @@
   const std::string output = absl::GetFlag(FLAGS_output);
   if (output != "text" && output != "json") throw UsageError{"--output needs text or json"};
   options.json = output == "json";
+  const std::string tenant = absl::GetFlag(FLAGS_tenant);
+  if (!tenant.empty()) options.tenant = tenant;
   options.after = number_flag("after", absl::GetFlag(FLAGS_after));
   options.count = number_flag("count", absl::GetFlag(FLAGS_count));
   options.version = number_flag("version", absl::GetFlag(FLAGS_version));
@@ -83,6 +87,14 @@
   return static_cast<int>(ExitCode::kDifferent);
 }
 
+// Asks a mesh daemon, which takes no token.
+int where(const CommandOptions& options) {
+  const auto admin = parse_servers(absl::GetFlag(FLAGS_admin));
+  if (!admin || admin->size() != 1) throw UsageError{"where needs --admin IP:PORT"};
+  AdminClient client{http_transport(), *admin, ""};
+  return static_cast<int>(run_command(options, client, std::cout, std::cerr));
+}
+
 int run(int argc, char** argv) {
   Arguments arguments = prepare_arguments({argv + 1, argv + argc});
   if (!arguments.error.empty()) throw UsageError{arguments.error};
@@ -95,6 +107,7 @@
   const std::vector<char*> positional = absl::ParseCommandLine(static_cast<int>(prepared.size()), prepared.data());
   const CommandOptions options = options_from(positional);
   if (options.command == "explain") return explain(options);
+  if (options.command == "where") return where(options);
   const auto servers = parse_servers(absl::GetFlag(FLAGS_server));
   if (!servers) throw UsageError{"--server needs IP:PORT"};
   AdminClient client{http_transport(), *servers, read_token(absl::GetFlag(FLAGS_token_file))};
--- a/src/damaskthread/client/arguments.cc
+++ b/src/damaskthread/client/arguments.cc
@@ -6,8 +6,8 @@
 namespace damaskthread::client {
 namespace {
 
-constexpr std::array<std::string_view, 8> kFlags = {"server", "token_file", "output",     "f",
-                                                    "after",  "count",      "timeout_ms", "version"};
+constexpr std::array<std::string_view, 10> kFlags = {"server", "token_file", "output",  "f",     "after",
+                                                     "count",  "timeout_ms", "version", "admin", "tenant"};
 
 constexpr std::string_view kHelp = R"(damaskctl publishes declarations of services and shows what is in force.
 
@@ -23,17 +23,21 @@
   status                    show which version is in force where, and which daemons lag
   explain ID [LOG...]       tell the story of a request from the logs of mesh daemons (default: standard input)
   report                    show the service-level objectives and the budget that is left
+  where HOST PATH           show where a mesh daemon would send a request now, and why, without sending it (--admin IP:PORT,
+                            --tenant NAME: the tenant that would send it)
 
 Flags:
   --server IP:PORT          admin port of a daemon (default 127.0.0.1:7003); may be repeated, the next is tried when
                             one does not answer
+  --admin IP:PORT           admin port of the mesh daemon that `where` asks; no token is sent to it
   --token-file FILE         file that holds your token
   --output text|json        form of the output (default text)
   --timeout-ms N            time for one request (default 10000)
 
 Exit codes:
   0  done
-  1  there are differences, no log knows the request, another change came first, or a version is not in force everywhere yet
+  1  there are differences, no log knows the request, another change came first, a version is not in force everywhere yet,
+     or a request would be refused now
   2  the command line is wrong
   3  no daemon or no log can be reached; nothing was done
   4  the outcome is unknown; run the same command again
@@ -79,6 +83,11 @@
       result.error = "the flag " + argument + " needs a value";
       return result;
     }
+    if (name == "tenant" && value.empty()) {
+      // Without a tenant, another request would be explained than the one that was meant.
+      result.error = "the flag --tenant needs a name";
+      return result;
+    }
     if (name != "server") {
       result.values.push_back(std::string{"--"}.append(name).append("=").append(value));
       continue;
--- a/src/damaskthread/client/commands.cc
+++ b/src/damaskthread/client/commands.cc
@@ -8,6 +8,7 @@
 
 #include "damaskthread/client/internal/output.h"
 #include "damaskthread/client/local_files.h"
+#include "damaskthread/http/message.h"
 
 namespace damaskthread::client {
 namespace {
@@ -52,7 +53,8 @@
   const Answer answer = context.client.read(target, timeout);
   const auto* response = std::get_if<http::Response>(&answer);
   if (response == nullptr) {
-    context.err << "damaskctl: no daemon answers; try another --server\n";
+    context.err << "damaskctl: no daemon answers; try another "
+                << (context.options.command == "where" ? "--admin" : "--server") << '\n';
     return {ExitCode::kUnavailable, 0, nullptr};
   }
   Json json = Json::parse(response->body, nullptr, false);
@@ -284,17 +286,36 @@
   return ExitCode::kOk;
 }
 
+ExitCode where(Context& context) {
+  if (context.options.names.size() != 2) return usage(context, "where needs HOST and PATH");
+  const std::string& host = context.options.names[0];
+  const std::string& path = context.options.names[1];
+  if (host.empty()) return usage(context, "where needs HOST and PATH");
+  if (!path.starts_with('/')) return usage(context, "PATH must begin with /");
+  std::string target = "/explain?host=" + http::encode_query_value(host) + "&path=" + http::encode_query_value(path);
+  if (context.options.tenant) target += "&tenant=" + http::encode_query_value(*context.options.tenant);
+  const Page page = read_page(context, target);
+  if (page.code != ExitCode::kOk) return page.code;
+  if (page.status == 404) {
+    context.err << "damaskctl: there is no /explain at this address; --admin needs the admin port of a mesh daemon\n";
+    return ExitCode::kInvalid;
+  }
+  context.out << (context.options.json ? page.json.dump(2) + '\n' : internal::format_explanation(page.json));
+  return internal::is_placeable(page.json) ? ExitCode::kOk : ExitCode::kDifferent;
+}
+
 struct Command {
   std::string_view name;
   ExitCode (*run)(Context&);
 };
-constexpr std::array<Command, 7> kCommands = {{{"apply", &apply},
+constexpr std::array<Command, 8> kCommands = {{{"apply", &apply},
                                                {"diff", &diff},
                                                {"get", &get},
                                                {"delete", &remove},
                                                {"watch", &watch},
                                                {"status", &status},
-                                               {"report", &report}}};
+                                               {"report", &report},
+                                               {"where", &where}}};
 
 }  // namespace
 
--- a/src/damaskthread/client/commands.h
+++ b/src/damaskthread/client/commands.h
@@ -35,6 +35,7 @@
   bool json = false;                     ///< `--output json`
   std::optional<std::uint64_t> version;  ///< `--version`: the version to delete.
   std::uint64_t after = 0;               ///< `--after`: the revision that a watch starts after.
+  std::optional<std::string> tenant;     ///< `--tenant`: the name of the tenant that would send a request.
   std::uint64_t count = 0;               ///< `--count`: changes after which a watch ends; 0 for no end.
   PublishLimits limits;
 };
--- a/src/damaskthread/client/internal/output.cc
+++ b/src/damaskthread/client/internal/output.cc
@@ -17,6 +17,13 @@
   return it != object.end() && it->is_array() ? *it : empty;
 }
 
+const Json& member(const Json& object, const char* key) {
+  static const Json none;
+  if (!object.is_object()) return none;
+  const auto it = object.find(key);
+  return it == object.end() ? none : *it;
+}
+
 std::string number_text(const Json& value) {
   if (!value.is_number_float()) return value.dump();
   std::ostringstream text;
@@ -38,6 +45,13 @@
   return windows.contains(window) ? field_text(windows[window], "burn_rate") : "-";
 }
 
+std::string candidate_result(const Json& service, const Json& candidate) {
+  const Json& excluded = member(candidate, "excluded");
+  if (excluded.is_string()) return "excluded: " + excluded.get<std::string>();
+  if (member(candidate, "endpoint") == member(service, "chosen")) return "chosen";
+  return field_text(candidate, "possible") == "yes" ? "possible" : "costs more";
+}
+
 }  // namespace
 
 std::string format_table(const Rows& rows) {
@@ -117,6 +131,48 @@
   return text;
 }
 
+std::string format_explanation(const Json& explanation) {
+  std::string text = "route " + field_text(explanation, "route") + ", priority " + field_text(explanation, "priority") +
+                     ", tenant " + field_text(explanation, "tenant") + ", configuration " +
+                     field_text(explanation, "configuration") + '\n';
+  const Json& quota = member(explanation, "quota");
+  if (quota.is_object()) {
+    text += "quota: " + field_text(quota, "admission") + ", credits " + field_text(quota, "credits") + ", waiting " +
+            field_text(quota, "waiting") + ", arrivals " + field_text(quota, "arrivals_per_s") + "/s, admitted " +
+            field_text(quota, "admitted_per_s") + "/s\n";
+  }
+  const Json& refusal = member(explanation, "refusal");
+  if (refusal.is_object()) {
+    text += "refused with " + field_text(refusal, "status") + ": " + field_text(refusal, "reason") + '\n';
+  }
+  for (const Json& service : array_of(explanation, "services")) {
+    text += "\nservice " + field_text(service, "service") + ", split share " + field_text(service, "split_share") +
+            ", admitted share " + field_text(service, "admitted_share") + ", limited by " +
+            field_text(service, "limited_by") + ", chosen " + field_text(service, "chosen") + '\n';
+    Rows rows = {{"SERVER", "DOMAIN", "COST", "RUN TIME", "CONGESTION", "CROSS-DOMAIN", "FAILURES", "OBJECTIVE",
+                  "AVOIDANCE", "RESULT"}};
+    for (const Json& candidate : array_of(service, "candidates")) {
+      std::vector<std::string> row = {field_text(candidate, "endpoint"),
+                                      field_text(candidate, "same_zone") == "yes" ? "own" : "other"};
+      for (const char* term :
+           {"total", "run_time", "congestion", "cross_zone", "failures", "objective_excess", "avoidance"}) {
+        row.push_back(field_text(member(candidate, "cost"), term));
+      }
+      row.push_back(candidate_result(service, candidate));
+      rows.push_back(std::move(row));
+    }
+    text += rows.size() > 1 ? format_table(rows) : "no server is known to this daemon\n";
+  }
+  return text;
+}
+
+bool is_placeable(const Json& explanation) {
+  const Json& services = array_of(explanation, "services");
+  return !services.empty() && member(explanation, "refusal").is_null() &&
+         std::all_of(services.begin(), services.end(),
+                     [](const Json& service) { return member(service, "chosen").is_string(); });
+}
+
 bool is_settled(const Json& status) {
   const Json& resources = array_of(status, "resources");
   const bool in_force = std::all_of(resources.begin(), resources.end(), [](const Json& resource) {
--- a/src/damaskthread/client/internal/output.h
+++ b/src/damaskthread/client/internal/output.h
@@ -19,6 +19,10 @@
 [[nodiscard]] std::string format_list(const Json& resources);
 [[nodiscard]] std::string format_status(const Json& status);
 [[nodiscard]] std::string format_report(const Json& report);
+/// @brief Formats what a mesh daemon answered to `/explain`.
+[[nodiscard]] std::string format_explanation(const Json& explanation);
+/// @brief Whether the request would not be refused outright and every service of its route has a server for it.
+[[nodiscard]] bool is_placeable(const Json& explanation);
 /// @brief Whether each version is in force everywhere, each daemon is known and none lags.
 [[nodiscard]] bool is_settled(const Json& status);
 
--- a/test/damaskthread/client/commands_test.cc
+++ b/test/damaskthread/client/commands_test.cc
@@ -217,6 +217,70 @@
         "UNKNOWN DAEMONS\npricing@127.0.0.1:7011\n");
 }
 
+// Guards against a table that hides which server gets the request, and against an exit code that hides a refusal.
+TEST_CASE("where prints the decisions of a mesh daemon as a table") {
+  http::Response response{200, {}, R"({"configuration": 5, "refusal": null, "route": "orders", "priority": 1,
+    "tenant": "acme", "quota": {"admission": "admit", "credits": 3, "waiting": 0, "arrivals_per_s": 12.5,
+    "admitted_per_s": 10.0}, "services": [{"service": "s", "split_share": 1.0, "needed": ["s", "t"],
+    "admitted_share": 0.8, "limited_by": "t", "chosen": "10.0.0.1:80", "candidates": [
+      {"endpoint": "10.0.0.1:80", "same_zone": true, "possible": true, "excluded": null, "cost": {"total": 1.0,
+       "run_time": 0.9, "congestion": 0.1, "failures": 0.0, "cross_zone": 0.0, "objective_excess": 0.0,
+       "avoidance": 0.0}},
+      {"endpoint": "10.0.0.2:80", "same_zone": false, "possible": false, "excluded": null, "cost": {"total": 2.4,
+       "run_time": 1.0, "congestion": 0.0, "failures": 0.0, "cross_zone": 1.4, "objective_excess": 0.0,
+       "avoidance": 0.0}},
+      {"endpoint": "10.0.0.3:80", "same_zone": true, "possible": false, "excluded": "not ready", "cost": {"total": 0.9,
+       "run_time": 0.9, "congestion": 0.0, "failures": 0.0, "cross_zone": 0.0, "objective_excess": 0.0,
+       "avoidance": 0.0}}]}]})"};
+  std::string target;
+  const Transport transport = [&](const http::Endpoint&, const http::Request& request, core::Duration) -> Answer {
+    target = request.target;
+    return response;
+  };
+  AdminClient client{transport, {{"127.0.0.1", 9464}}, ""};
+  CommandOptions options;
+  options.command = "where";
+  options.names = {"h.example", "/a b?c=d"};
+  options.tenant = "acme";
+  std::ostringstream out;
+  std::ostringstream err;
+  CHECK(run_command(options, client, out, err) == ExitCode::kOk);
+  CHECK(target == "/explain?host=h.example&path=%2Fa%20b%3Fc%3Dd&tenant=acme");
+  CHECK(out.str() ==
+        "route orders, priority 1, tenant acme, configuration 5\n"
+        "quota: admit, credits 3, waiting 0, arrivals 12.5/s, admitted 10/s\n\n"
+        "service s, split share 1, admitted share 0.8, limited by t, chosen 10.0.0.1:80\n"
+        "SERVER       DOMAIN  COST  RUN TIME  CONGESTION  CROSS-DOMAIN  FAILURES  OBJECTIVE  AVOIDANCE  RESULT\n"
+        "10.0.0.1:80  own     1     0.9       0.1         0             0         0          0          chosen\n"
+        "10.0.0.2:80  other   2.4   1         0           1.4           0         0          0          costs more\n"
+        "10.0.0.3:80  own     0.9   0.9       0           0             0         0          0          "
+        "excluded: not ready\n");
+
+  out.str("");
+  response.body = R"({"refusal": {"status": 404, "reason": "no route"}, "route": null, "services": []})";
+  CHECK(run_command(options, client, out, err) == ExitCode::kDifferent);
+  CHECK(out.str().find("refused with 404: no route\n") != std::string::npos);
+  response.body =
+      R"({"refusal": null, "route": "r", "services": [{"service": "s", "chosen": null, "candidates": []}]})";
+  out.str("");
+  CHECK(run_command(options, client, out, err) == ExitCode::kDifferent);
+  CHECK(out.str().find("no server is known to this daemon\n") != std::string::npos);
+  CHECK(err.str().empty());
+  response = {400, {}, R"({"error": "tenant: expected the name of a tenant of the configuration"})"};
+  CHECK(run_command(options, client, out, err) == ExitCode::kInvalid);
+  CHECK(err.str().find("400: tenant: expected the name of a tenant") != std::string::npos);
+  response = {404, {}, ""};
+  CHECK(run_command(options, client, out, err) == ExitCode::kInvalid);
+  CHECK(err.str().find("there is no /explain") != std::string::npos);
+  target.clear();
+  for (const std::vector<std::string>& names :
+       {std::vector<std::string>{}, {"h.example"}, {"h.example", "a"}, {"", "/a"}, {"h.example", "/a", "/b"}}) {
+    options.names = names;
+    CHECK(run_command(options, client, out, err) == ExitCode::kUsage);
+  }
+  CHECK(target.empty());
+}
+
 TEST_CASE("flags are joined, renamed and checked") {
   const Arguments arguments =
       prepare_arguments({"apply", "-f", "a.json", "--server", "127.0.0.1:1", "--server=127.0.0.1:2", "--token-file=t"});
@@ -224,6 +288,9 @@
         std::vector<std::string>{"apply", "--f=a.json", "--token_file=t", "--server=127.0.0.1:1,127.0.0.1:2"});
   CHECK(prepare_arguments({"--sever", "x"}).error == "unknown flag --sever");
   CHECK_FALSE(prepare_arguments({"apply", "-f"}).error.empty());
+  CHECK(prepare_arguments({"where", "--admin", "127.0.0.1:1", "--tenant=t"}).values ==
+        std::vector<std::string>{"where", "--admin=127.0.0.1:1", "--tenant=t"});
+  CHECK_FALSE(prepare_arguments({"where", "--tenant="}).error.empty());
   CHECK(prepare_arguments({"--help"}).help);
   CHECK(parse_servers("127.0.0.1:1,127.0.0.1:2")->size() == 2);
   CHECK_FALSE(parse_servers("localhost").has_value());
