--- a/test/meshfleet/fleet.h
+++ b/test/meshfleet/fleet.h
@@ -148,8 +148,8 @@
 
   std::vector<ServiceSpec> services_;
   std::string logs_;
-  std::vector<TenantSpec> tenants_;
   FleetLimits limits_;
+  std::vector<TenantSpec> tenants_;
   boost::asio::io_context io_;
   std::vector<ReservedPort> ports_;
   ExecutionLog execution_log_;
