--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -22,6 +22,7 @@
 #include "damaskthread/entrance/call_graph.h"
 #include "damaskthread/mesh/clock.h"
 #include "damaskthread/mesh/event_log.h"
+#include "damaskthread/mesh/explanation.h"
 #include "damaskthread/mesh/fleet.h"
 #include "damaskthread/mesh/http_listener.h"
 #include "damaskthread/mesh/ingress.h"
@@ -250,11 +251,12 @@
         continue;
       }
       self_listed = entry->zone == settings.zone && entry->service == settings.service;
-      if (self_listed && entry->departed_server && !gate.life().departed()) {
+      if (self_listed && entry->departed_server && !listed_departure) {
         listed_departure = entry->departed_server;
         log.line(LogClass::kStateChange, "departure_restored",
                  {{"server", listed_departure->id}, {"started_ms", listed_departure->started_at_ms}});
-        gate.remember_leave(*entry->departed_server);
+        // A deregistration that came before this read is newer.
+        if (!gate.life().departed()) gate.remember_leave(*entry->departed_server);
       }
       // The store may have lost the latest departure when it was restored from a backup.
       self_listed = self_listed && entry->departed_server == listed_departure;
@@ -376,7 +378,8 @@
       fleet.set_service(announcement->service);
     }
     const auto& departed = gate.life().departed();
-    if (announcement && departed && departed != listed_departure) {
+    // The entry holds no departure without a start time (`parse_member_entry`).
+    if (announcement && departed && departed->started_at_ms > 0 && departed != listed_departure) {
       listed_departure = departed;
       write_member_entry();
     }
@@ -444,15 +447,27 @@
   void answer_admin(CallerRequest& caller_request) {
     http::Response response;
     if (caller_request.request.target == "/metrics") {
+      record_server_load();
       response.body = registry.expose();
     } else if (caller_request.request.target == "/status") {
       response.body = status_json();
+    } else if (is_explain_target(caller_request.request.target)) {
+      response = answer_explain(caller_request.request,
+                                [this](const ExplainQuery& query) { return ingress.explain(query, now()); });
     } else {
       response.status = kNotFound;
     }
     caller_request.answer(response);
   }
 
+  void record_server_load() {
+    const gate::Load load = gate.load(now());
+    registry.gauge("damaskthread_server_pace", "Share of the server's slots that is used while it ramps up, else 1.")
+        .set(load.pace);
+    registry.gauge("damaskthread_server_work_time", "Work time of the server's VM, relative to the usual one.")
+        .set(load.work_time);
+  }
+
   [[nodiscard]] std::string status_json() {
     const peer::Status own = own_status();
     Json peers_json = Json::array();
--- a/src/damaskthread/mesh/http_listener.cc
+++ b/src/damaskthread/mesh/http_listener.cc
@@ -60,7 +60,8 @@
 
 void Session::update_memory() {
   if (listener_.memory_ == nullptr || input_ended_) return;
-  const std::size_t waiting = waiting_request_ ? waiting_request_->message.body.size() : 0;
+  const std::size_t waiting =
+      waiting_request_ ? waiting_request_->message.body.size() + header_memory(waiting_request_->message) : 0;
   const std::size_t before = std::exchange(reading_bytes_, reader_.held_bytes() + waiting);
   listener_.memory_->resize_reading(before, reading_bytes_);
   listener_.enforce_memory_limit();
@@ -80,11 +81,17 @@
   if (listener_.memory_ != nullptr) listener_.memory_->resize_reading(bytes, 0);
 }
 
-std::optional<CallerMemory::Reservation> Session::accept_body(const http::Request& message) {
-  if (listener_.memory_ == nullptr) return CallerMemory::Reservation();
+bool Session::reserve_memory(CallerRequest& request) {
+  if (listener_.memory_ == nullptr) return true;
   const std::size_t read = std::exchange(reading_bytes_, reader_.held_bytes());
   listener_.memory_->resize_reading(read, reading_bytes_);
-  return listener_.memory_->accept(message.body.size());
+  auto body = listener_.memory_->accept(request.request.body.size());
+  if (!body) return false;
+  auto header = listener_.memory_->accept_header(header_memory(request.request));
+  if (!header) return false;
+  request.memory = std::move(*body);
+  request.header_memory = std::move(*header);
+  return true;
 }
 
 void Session::process(ReadState state) {
@@ -127,13 +134,13 @@
 }
 
 void Session::dispatch(WaitingRequest&& waiting) {
-  auto memory = accept_body(waiting.message);
-  if (!memory) std::string().swap(waiting.message.body);
   const auto request = std::make_shared<CallerRequest>(std::move(waiting.message), waiting.received);
   exchanges_.push_back({request, std::nullopt, waiting.last});
-  input_ended_ = waiting.last;
-  if (!memory) return record_response(request.get(), unavailable());
-  request->memory = std::move(*memory);
+  if (waiting.last) input_ended_ = true;
+  if (!reserve_memory(*request)) {
+    request->request = {};
+    return record_response(request.get(), unavailable());
+  }
   request->send_response_ = [weak = weak_from_this(), key = request.get()](const http::Response& response) {
     if (const auto self = weak.lock()) self->record_response(key, response);
   };
@@ -142,11 +149,13 @@
 
 void Session::resume() {
   resume_pending_ = false;
-  if (!stream_->open()) return;
+  if (closed_) return;
+  if (!stream_->open()) return drop();
   if (waiting_request_ && may_dispatch(waiting_request_->message)) {
     WaitingRequest next = std::move(*waiting_request_);
     waiting_request_.reset();
     dispatch(std::move(next));
+    if (closed_) return;
   }
   if (reject_status_ && exchanges_.empty() && !waiting_request_) return reject(*reject_status_);
   if (input_ended_) return;
@@ -170,7 +179,9 @@
     if (!send_first(next)) return;
   }
   stream_->resume();
-  if (resume_pending_ || (!waiting_request_ && !reject_status_ && reader_.pending_bytes() == 0)) return;
+  // Includes a request of which only the header was read, whose caller may wait for `100 Continue`.
+  const bool input_left = waiting_request_ || reject_status_ || reader_.started();
+  if (resume_pending_ || (!input_left && stream_->open())) return;
   // Deferred, so that the handler of the answered request is not re-entered.
   resume_pending_ = true;
   asio::post(listener_.io_, [self = shared_from_this()] { self->resume(); });
@@ -183,21 +194,31 @@
   const bool close = last || (listener_.draining_ && exchanges_.empty());
   stream_->write(to_bytes(response, close));
   if (!close) return true;
-  input_ended_ = true;
-  listener_.close_after_response(shared_from_this(), stream_);
+  close_after_response();
   return false;
 }
 
 void Session::reject(int status) {
   http::Response response = status == kUnavailable ? unavailable() : http::Response{status, {}, {}};
   stream_->write(to_bytes(response, true));
+  close_after_response();
+}
+
+void Session::close_after_response() {
+  closed_ = true;
+  input_ended_ = true;
+  // The caller sends these again, since they were not answered.
+  waiting_request_.reset();
+  reject_status_.reset();
+  reader_.discard();
   listener_.close_after_response(shared_from_this(), stream_);
 }
 
 void Session::close_if_idle() {
+  if (closed_) return;
   const auto self = shared_from_this();
   stream_->read_available();
-  if (idle() && stream_->open()) listener_.close_after_response(self, stream_);
+  if (idle() && !closed_) close_after_response();
 }
 
 void Session::on_end(StreamCloseReason /*reason*/) { drop(); }
@@ -205,7 +226,9 @@
 void Session::drop() {
   const auto self = shared_from_this();
   stream_->close();
+  closed_ = true;
   input_ended_ = true;
+  waiting_request_.reset();
   release_memory();
   listener_.sessions_.erase(self);
   for (const Exchange& exchange : std::exchange(exchanges_, {})) {
@@ -216,7 +239,7 @@
 }
 
 void Session::sweep(core::TimePoint now) {
-  if (!exchanges_.empty() || waiting_request_) return;
+  if (closed_ || !exchanges_.empty() || waiting_request_) return;
   const core::Duration idle_time = now - last_activity_;
   if (idle()) {
     if (idle_time > listener_.caller_limits_.idle_time) close_if_idle();
@@ -259,7 +282,8 @@
                                                       : a->last_activity() > b->last_activity();
     });
     if (largest == sessions_.end() || (*largest)->reading_bytes() == 0) return;
-    const std::shared_ptr<Session> session = *largest;
+    // The session leaves the set.
+    const auto session = (*largest)->shared_from_this();
     session->evict();
   }
 }
--- a/src/damaskthread/peer/frame.cc
+++ b/src/damaskthread/peer/frame.cc
@@ -23,6 +23,8 @@
 constexpr bool kUnusedField = false;
 constexpr double kDemandScale = 10;
 constexpr double kPercent = 100;
+// The largest work time that a daemon takes over from its server.
+constexpr double kMaxWorkTimePercent = 10'000;
 // Reserved rates are encoded in hundredths of a request per second.
 constexpr double kReservedScale = 100;
 constexpr std::size_t kLengthBytes = 4;
@@ -79,7 +81,7 @@
   gate::Load load{value.at(0).get<int>(), value.at(1).get<int>(), value.at(2).get<int>(), from_us(value.at(3)),
                   value.at(4).get<double>() / kDemandScale};
   if (value.size() > 6) {
-    load.work_time = std::max(1.0, value.at(5).get<double>()) / kPercent;
+    load.work_time = std::min(std::max(1.0, value.at(5).get<double>()), kMaxWorkTimePercent) / kPercent;
     load.pace = std::clamp(value.at(6).get<double>() / kPercent, 1 / kPercent, 1.0);
   }
   return load;
@@ -129,8 +131,8 @@
   Json operator()(const QuotaReport& message) const {
     Json demands = Json::array();
     for (const quota::Demand& demand : message.report.demands) {
-      demands.push_back(Json::array(
-          {demand.tenant, demand.wanted, demand.returned, std::lround(kReservedScale * demand.reserved_per_second)}));
+      demands.push_back(Json::array({demand.tenant, demand.wanted, demand.spare, demand.returned,
+                                     std::lround(kReservedScale * demand.reserved_per_second)}));
     }
     return Json::array({10, message.report.sequence, message.report.fleet_size, std::move(demands)});
   }
@@ -139,7 +141,7 @@
     for (const quota::Credit& credit : message.grant.credits) {
       credits.push_back(Json::array({credit.tenant, credit.credits, credit.exhausted}));
     }
-    return Json::array({11, message.grant.sequence, message.grant.established, std::move(credits)});
+    return Json::array({11, message.grant.sequence, message.grant.majority, std::move(credits)});
   }
 };
 
@@ -238,7 +240,7 @@
   message.report.fleet_size = fields.at(2).get<std::uint32_t>();
   for (const Json& demand : fields.at(3)) {
     message.report.demands.push_back({demand.at(0).get<std::string>(), demand.at(1).get<int>(), demand.at(2).get<int>(),
-                                      demand.at(3).get<double>() / kReservedScale});
+                                      demand.at(3).get<int>(), demand.at(4).get<double>() / kReservedScale});
   }
   return message;
 }
@@ -246,7 +248,7 @@
 Message decode_quota_grant(const Json& fields) {
   QuotaGrant message;
   message.grant.sequence = fields.at(1).get<std::uint64_t>();
-  message.grant.established = fields.at(2).get<bool>();
+  message.grant.majority = fields.at(2).get<bool>();
   for (const Json& credit : fields.at(3)) {
     message.grant.credits.push_back(
         {credit.at(0).get<std::string>(), credit.at(1).get<int>(), credit.at(2).get<bool>()});
@@ -339,7 +341,8 @@
     execute->body_dropped = !reservation_;
   }
   if (execute == nullptr || !execute->body_dropped) body_.reserve(body_missing_);
-  std::string_view rest = std::string_view(buffer_).substr(read_offset_);
+  std::string_view rest = buffer_;
+  rest.remove_prefix(read_offset_);
   const std::size_t available = rest.size();
   take_body_bytes(rest);
   read_offset_ += available - rest.size();
--- a/src/damaskthread/quota/credit.h
+++ b/src/damaskthread/quota/credit.h
@@ -14,6 +14,8 @@
 struct Demand {
   std::string tenant;
   int wanted = 0;
+  /// Further credits, wanted only while there are plenty: for requests that arrive now and then.
+  int spare = 0;
   /// Earlier credits that were not used and have expired.
   int returned = 0;
   /// Requests per second that the sender may admit if it loses all coordinators; the others leave them to it.
@@ -39,8 +41,8 @@
 /// The answer to a report.
 struct Grant {
   std::uint64_t sequence = 0;
-  /// The sender hears, or has heard, from nearly all daemons, so that it controls the whole quota.
-  bool established = false;
+  /// At least half of the known daemons report to the sender, so that daemons may rely on what it grants.
+  bool majority = false;
   std::vector<Credit> credits;
 };
 
--- a/src/damaskthread/quota/ledger.cc
+++ b/src/damaskthread/quota/ledger.cc
@@ -15,6 +15,18 @@
 
 }  // namespace
 
+std::string_view to_string(Admission admission) noexcept {
+  switch (admission) {
+    case Admission::kAdmit:
+      return "admit";
+    case Admission::kWait:
+      return "wait";
+    case Admission::kReject:
+      return "reject";
+  }
+  return "unknown";
+}
+
 void Ledger::Rate::decay(core::TimePoint now, core::Duration time_constant) noexcept {
   per_second *= std::exp(-to_seconds(now - updated) / to_seconds(time_constant));
   updated = now;
@@ -43,14 +55,35 @@
   return found == accounts_.end() ? nullptr : &found->second;
 }
 
+int Ledger::usable_credits(const Account& account, core::TimePoint now) noexcept {
+  return now <= account.expires_at ? account.credits : 0;
+}
+
+Admission Ledger::decide(const Account& account, core::TimePoint now) noexcept {
+  if (usable_credits(account, now) > 0) return Admission::kAdmit;
+  return now < account.rejects_until ? Admission::kReject : Admission::kWait;
+}
+
+std::optional<QuotaState> Ledger::state(std::string_view tenant, core::TimePoint now) const {
+  const auto found = accounts_.find(tenant);
+  if (found == accounts_.end()) return std::nullopt;
+  const Account& account = found->second;
+  Rate arrivals = account.arrivals;
+  arrivals.decay(now, options_.time_constant);
+  Rate admitted = account.admitted;
+  admitted.decay(now, options_.time_constant);
+  return QuotaState{decide(account, now), usable_credits(account, now), account.waiting, arrivals.per_second,
+                    admitted.per_second};
+}
+
 void Ledger::expire(Account& account, core::TimePoint now) noexcept {
-  if (account.credits == 0 || now <= account.expires_at) return;
+  if (usable_credits(account, now) == account.credits) return;
   account.returned += std::exchange(account.credits, 0);
 }
 
 bool Ledger::consume(Account& account, core::TimePoint now) noexcept {
   expire(account, now);
-  if (account.credits == 0) return false;
+  if (decide(account, now) != Admission::kAdmit) return false;
   --account.credits;
   account.admitted.add(now, options_.time_constant);
   return true;
@@ -61,10 +94,11 @@
   if (account == nullptr) return Admission::kAdmit;
   account->arrivals.add(now, options_.time_constant);
   if (consume(*account, now)) return Admission::kAdmit;
-  if (now < account->rejects_until) return Admission::kReject;
+  const Admission admission = decide(*account, now);
+  if (admission == Admission::kReject) return admission;
   ++account->waiting;
-  shortage_ = true;
-  return Admission::kWait;
+  shortage_report_ = std::min(shortage_report_, std::max(now, account->next_request));
+  return admission;
 }
 
 Admission Ledger::retry(std::string_view tenant, core::TimePoint now) {
@@ -74,9 +108,9 @@
     account->waiting = std::max(0, account->waiting - 1);
     return Admission::kAdmit;
   }
-  if (now >= account->rejects_until) return Admission::kWait;
-  account->waiting = std::max(0, account->waiting - 1);
-  return Admission::kReject;
+  const Admission admission = decide(*account, now);
+  if (admission == Admission::kReject) account->waiting = std::max(0, account->waiting - 1);
+  return admission;
 }
 
 void Ledger::abandon(std::string_view tenant) noexcept {
@@ -93,7 +127,7 @@
 
 bool Ledger::report_due(core::TimePoint now) const noexcept {
   const core::Duration elapsed = now - last_report_;
-  return elapsed >= options_.report_interval || (shortage_ && elapsed >= options_.urgent_report_interval);
+  return elapsed >= options_.report_interval || (now >= shortage_report_ && elapsed >= options_.urgent_report_interval);
 }
 
 Report Ledger::report(std::uint32_t fleet_size, core::TimePoint now) {
@@ -101,7 +135,7 @@
   report.sequence = next_sequence_++;
   report.fleet_size = fleet_size;
   const core::Duration elapsed = now - last_report_;
-  shortage_ = false;
+  shortage_report_ = core::TimePoint::max();
   last_report_ = now;
   for (auto& [name, account] : accounts_) {
     expire(account, now);
@@ -112,19 +146,23 @@
       account.reserved_per_second += weight * (account.admitted.per_second - account.reserved_per_second);
     }
     const double expected = account.arrivals.per_second * to_seconds(options_.horizon);
-    const int wanted = static_cast<int>(std::floor(expected + 0.5)) + account.waiting - account.credits;
+    const bool seen = account.arrivals.per_second > kMinReserved;
+    const int needed = static_cast<int>(std::floor(expected + 0.5)) + account.waiting;
+    const int wanted = std::max(0, needed - account.credits);
+    const int spare = std::max(0, (seen ? options_.min_credits : 0) - std::max(needed, account.credits));
     const int returned = std::exchange(account.returned, 0);
-    shortage_ = shortage_ || account.waiting > 0;
+    if (wanted > 0) account.next_request = now + options_.repeat_interval;
+    if (account.waiting > 0) shortage_report_ = now + options_.repeat_interval;
     // Smaller reservations are dropped, since an average never decays to zero.
     const double reserved = account.reserved_per_second > kMinReserved ? account.reserved_per_second : 0;
-    if (wanted <= 0 && returned == 0 && reserved == 0) continue;
-    report.demands.push_back({name, std::max(0, wanted), returned, reserved});
+    if (wanted == 0 && spare == 0 && returned == 0 && reserved == 0) continue;
+    report.demands.push_back({name, wanted, spare, returned, reserved});
   }
   return report;
 }
 
 void Ledger::on_grant(const Grant& grant, core::TimePoint now) {
-  supervised_ = grant.established;
+  supervised_ = grant.majority;
   for (const Credit& credit : grant.credits) {
     Account* const account = find(credit.tenant);
     if (account == nullptr) continue;
--- a/src/damaskthread/quota/ledger.h
+++ b/src/damaskthread/quota/ledger.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -25,10 +26,15 @@
   core::Duration horizon = std::chrono::milliseconds{400};
   core::Duration report_interval = std::chrono::milliseconds{200};
   /// Minimum time between two reports when requests wait for credits.
-  core::Duration urgent_report_interval = std::chrono::milliseconds{10};
+  core::Duration urgent_report_interval = std::chrono::milliseconds{20};
+  /// Credits that a daemon keeps for a tenant whose requests arrive there now and then, so that few of them wait.
+  int min_credits = 2;
+  /// Time after which credits are requested again that the coordinator did not have. Without it all daemons together
+  /// sent thousands of reports a second for one tenant at its limit.
+  core::Duration repeat_interval = std::chrono::milliseconds{50};
   /// How long requests without credit are rejected at once after the coordinator has said that the tenant is at its
-  /// limit. Each of them would otherwise wait for nothing.
-  core::Duration rejection_time = std::chrono::milliseconds{100};
+  /// limit. Each of them would otherwise wait for nothing; credits that accrue come with the regular reports.
+  core::Duration rejection_time = std::chrono::milliseconds{250};
   /// Time constant of the averages of arriving and admitted requests.
   core::Duration time_constant = std::chrono::seconds{1};
   /// Time constant of the reserved rate. Longer than a coordinator needs to notice that daemons fell silent, so that
@@ -42,6 +48,21 @@
   kReject,  ///< The tenant is at its limit.
 };
 
+[[nodiscard]] std::string_view to_string(Admission admission) noexcept;
+
+/// State of one tenant's quota at a daemon.
+struct QuotaState {
+  /// Decision that a request arriving now would get.
+  Admission admission = Admission::kWait;
+  /// Credits that have not expired.
+  int credits = 0;
+  /// Requests that wait for a credit.
+  int waiting = 0;
+  /// Averages of arriving and admitted requests.
+  double arrivals_per_second = 0;
+  double admitted_per_second = 0;
+};
+
 /// @brief The credits of one daemon. A request is decided without a message and without allocating memory, as long as
 /// there are credits; only the first one after a pause waits for a grant.
 ///
@@ -60,6 +81,9 @@
 
   /// @brief Decides on a new request. After `kWait`, `retry` or `abandon` must follow.
   [[nodiscard]] Admission arrive(std::string_view tenant, core::TimePoint now);
+  /// @brief Returns the state of a tenant's quota without using a credit.
+  /// @return Nothing if the tenant has no quota.
+  [[nodiscard]] std::optional<QuotaState> state(std::string_view tenant, core::TimePoint now) const;
   /// @brief Decides on a waiting request again.
   [[nodiscard]] Admission retry(std::string_view tenant, core::TimePoint now);
   /// @brief Removes a waiting request that gave up.
@@ -89,9 +113,11 @@
     int returned = 0;
     int waiting = 0;
     core::TimePoint rejects_until;
+    /// When a request that waits may cause the next report.
+    core::TimePoint next_request;
     Rate arrivals;
     Rate admitted;
-    /// Average of admitted requests while an established coordinator granted the credits.
+    /// Average of admitted requests while the coordinator of a majority granted the credits.
     double reserved_per_second = 0;
   };
   struct Hash {
@@ -101,15 +127,18 @@
 
   [[nodiscard]] Account* find(std::string_view tenant) noexcept;
   [[nodiscard]] bool consume(Account& account, core::TimePoint now) noexcept;
+  /// Decision on a request, which `arrive` and `retry` put into effect.
+  [[nodiscard]] static Admission decide(const Account& account, core::TimePoint now) noexcept;
+  static int usable_credits(const Account& account, core::TimePoint now) noexcept;
   static void expire(Account& account, core::TimePoint now) noexcept;
 
   LedgerOptions options_;
   std::unordered_map<std::string, Account, Hash, std::equal_to<>> accounts_;
   std::uint64_t next_sequence_ = 1;
   core::TimePoint last_report_;
-  /// Requests wait that the last report did not count.
-  bool shortage_ = false;
-  /// The last grant came from an established coordinator.
+  /// When a report is due because requests wait.
+  core::TimePoint shortage_report_ = core::TimePoint::max();
+  /// The last grant came from a coordinator of a majority.
   bool supervised_ = false;
 };
 
--- a/test/damaskthread/peer/frame_test.cc
+++ b/test/damaskthread/peer/frame_test.cc
@@ -152,6 +152,13 @@
   CHECK(bytes.size() <= 40);
 }
 
+// The mean work time of a server would not recover from such a figure.
+TEST_CASE("a work time from another daemon is bounded") {
+  LoadUpdate load_update{9, {37, 36, 5, std::chrono::microseconds{55}}};
+  load_update.load.work_time = 1e6;
+  CHECK(round_trip(load_update).load.work_time == 100);
+}
+
 TEST_CASE("messages are decoded from any split of the stream") {
   CHECK(rc::check([](const std::vector<std::uint8_t>& piece_sizes) {
     std::string bytes;
@@ -213,17 +220,18 @@
 }
 
 TEST_CASE("reports and grants of the quotas keep their fields") {
-  const quota::Report report = round_trip(QuotaReport{{7, 84, {{"tenant", 5, 2, 12.25}}}}).report;
+  const quota::Report report = round_trip(QuotaReport{{7, 84, {{"tenant", 5, 1, 2, 12.25}}}}).report;
   CHECK(report.sequence == 7);
   CHECK(report.fleet_size == 84);
   REQUIRE(report.demands.size() == 1);
   CHECK(report.demands.front().tenant == "tenant");
   CHECK(report.demands.front().wanted == 5);
+  CHECK(report.demands.front().spare == 1);
   CHECK(report.demands.front().returned == 2);
   CHECK(report.demands.front().reserved_per_second == doctest::Approx(12.25));
   const quota::Grant grant = round_trip(QuotaGrant{{7, true, {{"tenant", 3, true}}}}).grant;
   CHECK(grant.sequence == 7);
-  CHECK(grant.established);
+  CHECK(grant.majority);
   REQUIRE(grant.credits.size() == 1);
   CHECK(grant.credits.front().credits == 3);
   CHECK(grant.credits.front().exhausted);
--- a/test/damaskthread/quota/quota_test.cc
+++ b/test/damaskthread/quota/quota_test.cc
@@ -74,6 +74,7 @@
   void forget_admissions() { admissions_.clear(); }
 
   [[nodiscard]] int admitted() const { return admitted_; }
+  [[nodiscard]] int reports() const { return reports_; }
   [[nodiscard]] int rejected() const { return rejected_; }
 
  private:
@@ -107,6 +108,7 @@
         if (admission == Admission::kWait) node.waiting.push_back(now_);
       }
       if (node.ledger.report_due(now_)) {
+        ++reports_;
         const std::size_t coordinator = i < partition_ ? 0 : partition_;
         const Report report = node.ledger.report(static_cast<std::uint32_t>(nodes_.size()), now_);
         node.ledger.on_grant(nodes_[coordinator].coordinator.on_report(std::to_string(i), report, now_), now_ + kStep);
@@ -136,6 +138,7 @@
   std::deque<core::TimePoint> admissions_;
   int admitted_ = 0;
   int rejected_ = 0;
+  int reports_ = 0;
 };
 
 }  // namespace
@@ -170,6 +173,16 @@
   CHECK(fleet.rejected() > 10'000);
 }
 
+// Requests that waited for nothing made every daemon report every few milliseconds, which overloaded the coordinator.
+TEST_CASE("a tenant at its limit causes few reports") {
+  QuotaFleet fleet(20, 16, 16);
+  fleet.set_load(0, 20, 750);
+  fleet.run(seconds(4));
+  const int before = fleet.reports();
+  fleet.run(seconds(4));
+  CHECK((fleet.reports() - before) / (4 * 20) <= 10);
+}
+
 // Two coordinators, one on each side, must not grant the quota twice.
 TEST_CASE("a network partition does not raise the quota") {
   for (const std::size_t first_cut : {std::size_t{4}, std::size_t{10}, std::size_t{19}}) {
@@ -256,6 +269,29 @@
   CHECK(ledger.arrive("t", now + seconds(1)) == Admission::kWait);
 }
 
+// Guards against a state that disagrees with the decision on the next request, or that uses up a credit.
+TEST_CASE("the state of a quota tells what the next request gets and changes nothing") {
+  const tenant::Tenant tenant{"t", std::nullopt, 10, 0};
+  Ledger ledger;
+  ledger.set_tenants({&tenant, 1});
+  const core::TimePoint now{seconds(1)};
+  CHECK(!ledger.state("x", now));
+  CHECK(ledger.state("t", now)->admission == Admission::kWait);
+  ledger.on_grant({1, true, {{"t", 1, true}}}, now);
+  CHECK(ledger.state("t", now)->credits == 1);
+  CHECK(ledger.state("t", now + seconds(1))->credits == 0);
+  CHECK(ledger.state("t", now + seconds(1))->admission == Admission::kWait);
+  CHECK(ledger.state("t", now)->admission == Admission::kAdmit);
+  CHECK(ledger.arrive("t", now) == Admission::kAdmit);
+  CHECK(ledger.state("t", now)->admission == Admission::kReject);
+  CHECK(ledger.arrive("t", now) == Admission::kReject);
+  CHECK(ledger.state("t", now)->arrivals_per_second == doctest::Approx(2));
+  CHECK(ledger.state("t", now)->admitted_per_second == doctest::Approx(1));
+  const core::TimePoint later = now + LedgerOptions().rejection_time;
+  CHECK(ledger.arrive("t", later) == Admission::kWait);
+  CHECK(ledger.state("t", later)->waiting == 1);
+}
+
 TEST_CASE("tenants without a quota and unknown tenants are admitted") {
   const tenant::Tenant unlimited{"u", std::nullopt, 0, 0};
   Ledger ledger;
--- a/test/meshfleet/fleet.h
+++ b/test/meshfleet/fleet.h
@@ -35,6 +35,10 @@
   std::string callee;
   /// Whether the daemons reach their servers through proxies, which can repeat responses.
   bool server_proxies = false;
+  /// Upper bound of the size of a response body.
+  std::size_t max_response_bytes = kDefaultMaxResponseBytes;
+  /// Whether the route is of the kind `download`; only for idempotent services.
+  bool download = false;
 };
 
 /// Ports and processes of one VM.
@@ -44,6 +48,7 @@
   VmPorts ports;
   std::uint16_t peer_port = 0;
   std::uint16_t readiness_port = 0;
+  std::uint16_t admin_port = 0;
   std::uint16_t peer_proxy_port = 0;
   std::uint16_t store_proxy_port = 0;
   std::unique_ptr<Server> server;
@@ -64,11 +69,19 @@
   std::chrono::milliseconds timeout{1500};
 };
 
+/// A tenant in the configuration.
+struct TenantSpec {
+  std::string name;
+  std::vector<std::string> keys;
+};
+
 /// @brief Runs the VMs of several services and a store, whose configuration routes to all of them.
 class Fleet {
  public:
   /// @param logs Folder for the settings and logs of the daemons.
-  Fleet(std::vector<ServiceSpec> services, std::string logs, const FleetLimits& limits = {});
+  /// @param tenants Tenants of every configuration version; without any, requests need no key.
+  Fleet(std::vector<ServiceSpec> services, std::string logs, const FleetLimits& limits = {},
+        std::vector<TenantSpec> tenants = {});
   /// Kills the daemons.
   ~Fleet();
   Fleet(const Fleet&) = delete;
@@ -84,6 +97,10 @@
   /// @brief Writes the next configuration version to the store. Besides its constant host, each service has a host that
   /// exists only in this version, which shows whether a daemon has the version in force.
   void publish();
+  /// @brief Sets the tenants of the configurations published from now on. Without tenants requests need no key.
+  void set_tenants(std::vector<TenantSpec> tenants) { tenants_ = std::move(tenants); }
+  /// @brief Writes the newest version to the store again, as the operator does after the store was restored.
+  void publish_again();
   /// @return The host that exists only in the newest version.
   [[nodiscard]] std::string newest_host(const std::string& service) const;
   [[nodiscard]] int version() const noexcept { return version_; }
@@ -132,6 +149,7 @@
   std::vector<ServiceSpec> services_;
   std::string logs_;
   FleetLimits limits_;
+  std::vector<TenantSpec> tenants_;
   boost::asio::io_context io_;
   std::vector<ReservedPort> ports_;
   ExecutionLog execution_log_;
--- a/test/platform/adapter_test.cc
+++ b/test/platform/adapter_test.cc
@@ -177,6 +177,38 @@
   }
 }
 
+// The JSON library quotes the text in front of a syntax error, which put keys into the logs of all daemons.
+TEST_CASE("the error of a malformed configuration gives the place and none of the text") {
+  std::string message;
+  const auto table = boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<bool> {
+        BOOST_LEAF_CHECK(parse_configuration(R"({"version":1,"tenants":[{"name":"t","api_keys":["key-1]}]})"));
+        return true;
+      },
+      [&](const core::Error& error) {
+        message = error.message;
+        return false;
+      },
+      [] { return false; });
+  CHECK(!table);
+  CHECK_MESSAGE(message.find("key-") == std::string::npos, message);
+  CHECK_MESSAGE(message.find("byte ") != std::string::npos, message);
+}
+
+// A null in a field that earlier versions ignored made a daemon refuse the configuration.
+TEST_CASE("optional fields of routes and tenants may be null") {
+  std::string document = replace_first(kConfiguration, "\"max_attempts\":2", "\"max_attempts\":2,\"public\":null");
+  document =
+      replace_first(document, "\"virtual_hosts\":",
+                    R"("tenants":[{"name":"t","api_keys":["k"],"rate_per_s":null,"burst":null}],"virtual_hosts":)");
+  const auto table = value_or_null(parse_configuration(document));
+  REQUIRE(table);
+  REQUIRE((*table)->find("h.example", "/x/1") != nullptr);
+  CHECK(!(*table)->find("h.example", "/x/1")->is_public);
+  REQUIRE((*table)->tenants().find_by_name("t") != nullptr);
+  CHECK(!(*table)->tenants().find_by_name("t")->has_quota());
+}
+
 TEST_CASE("records of a keyed topic are decoded from any offset and a truncated one is left for the next read") {
   const StoreAdapter adapter;
   std::string body(16, '\0');
@@ -209,6 +241,23 @@
   CHECK(!value_or_null(adapter.parse_newest({200, {}, "["})));
 }
 
+// A page that was cut off put the encoded configuration, and with it the tenants' keys, into the log.
+TEST_CASE("the error of a malformed page gives none of its text") {
+  std::string message;
+  (void)boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<bool> {
+        BOOST_LEAF_CHECK(StoreAdapter().parse_newest({200, {}, R"({"items":[{"key":"config","value":"c2VjcmV0)"}));
+        return true;
+      },
+      [&](const core::Error& error) {
+        message = error.message;
+        return false;
+      },
+      [] { return false; });
+  CHECK_MESSAGE(message.find("c2Vj") == std::string::npos, message);
+  CHECK_MESSAGE(message.find("byte ") != std::string::npos, message);
+}
+
 TEST_CASE("an entry is encoded as one keyed record") {
   const StoreAdapter adapter;
   const http::Request request = adapter.put(mesh::Topic::kMembers, "key", "value");
--- a/test/support/http_caller.h
+++ b/test/support/http_caller.h
@@ -57,13 +57,20 @@
   HttpCaller& operator=(const HttpCaller&) = delete;
 
   HttpAnswer call(const HttpCall& request);
+  /// Sends all requests, `pause` apart, and reads the answers in the order of the requests. The requests behind an
+  /// answer that ends the connection have the exchange kNoAnswer.
+  std::vector<HttpAnswer> call_pipelined(const std::vector<HttpCall>& requests,
+                                         std::chrono::milliseconds pause = std::chrono::milliseconds::zero());
   void close() noexcept;
+  /// @return How many connections it has opened so far.
+  [[nodiscard]] int connections() const noexcept { return connections_; }
 
  private:
   using Clock = std::chrono::steady_clock;
 
   bool connect(Clock::time_point deadline);
   bool alive() const noexcept;
+  std::string to_bytes(const HttpCall& request) const;
   bool send_all(std::string_view bytes, const HttpCall& request, Clock::time_point deadline, HttpAnswer& answer);
   /// Appends what arrives to `buffer_`.
   /// @return False if the connection ended or the call is over; `answer.exchange` is set in the latter case.
@@ -73,6 +80,7 @@
   std::string ip_;
   std::uint16_t port_;
   int socket_ = -1;
+  int connections_ = 0;
   std::string buffer_;
 };
 
