--- a/test/damaskthread/mesh/explanation_test.cc
+++ b/test/damaskthread/mesh/explanation_test.cc
@@ -198,10 +198,10 @@
       {"/explain?host=h.example&path=/a/&key=secret", "query: expected only the parameters host, path and tenant"},
       {"/explain?host=h.example&path=/a/&tenant=", "tenant: expected a value"},
       {"/explain?host=h.example&path=/a/&tenant=secret", "tenant: expected the name of a tenant of the configuration"}};
-  for (const auto& [target, message] : errors) {
-    const http::Response response = fixture.get(target);
-    CHECK_MESSAGE(response.status == 400, target);
-    CHECK(Json::parse(response.body)["error"] == message);
+  for (const auto& entry : errors) {
+    const http::Response response = fixture.get(entry.first);
+    CHECK_MESSAGE(response.status == 400, entry.first);
+    CHECK(Json::parse(response.body)["error"] == entry.second);
     CHECK(response.body.find("secret") == std::string::npos);
   }
   CHECK(fixture.get(kTarget, "POST").status == 405);
--- a/test/damaskthread/mesh/http_codec_test.cc
+++ b/test/damaskthread/mesh/http_codec_test.cc
@@ -83,9 +83,11 @@
 TEST_CASE("an incomplete body takes little more memory than the bytes that are counted for it") {
   constexpr std::size_t kReaders = 100;
   const std::string data(60'000, 'x');
-  const std::string head = "POST / HTTP/1.1\r\nHost: x\r\n";
-  for (const std::string& request : {head + "Content-Length: 60001\r\n\r\n" + data,
-                                     head + "Transfer-Encoding: chunked\r\n\r\nea60\r\n" + data + "\r\n1"}) {
+  std::string with_length = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 60001\r\n\r\n";
+  with_length += data;
+  std::string chunked = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nea60\r\n";
+  chunked.append(data).append("\r\n1");
+  for (const std::string& request : {with_length, chunked}) {
     std::vector<std::unique_ptr<RequestReader>> readers;
     readers.reserve(kReaders);
     std::size_t counted = 0;
