--- a/test/meshfleet/fleet_test.cc
+++ b/test/meshfleet/fleet_test.cc
@@ -408,9 +408,9 @@
     CHECK(http::find(log.headers[served], "X-Tenant") == "acme");
     CHECK(log.headers.contains(served + ".1"));
     CHECK(http::find(log.headers[served + ".1"], "X-Tenant").empty());
-    for (const auto& [attempt, headers] : log.headers) {
-      for (const http::Header& header : headers) {
-        CHECK_MESSAGE(header.value.find("key-of-") == std::string::npos, attempt, " ", header.name);
+    for (const auto& execution : log.headers) {
+      for (const http::Header& header : execution.second) {
+        CHECK_MESSAGE(header.value.find("key-of-") == std::string::npos, execution.first, " ", header.name);
       }
     }
   });
--- a/test/platform/adapter_test.cc
+++ b/test/platform/adapter_test.cc
@@ -182,8 +182,8 @@
   std::string message;
   const auto table = boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<bool> {
-        BOOST_LEAF_CHECK(parse_configuration(R"({"version":1,"tenants":[{"name":"t","api_keys":["key-1]}]})"));
-        return true;
+        BOOST_LEAF_AUTO(parsed, parse_configuration(R"({"version":1,"tenants":[{"name":"t","api_keys":["key-1]}]})"));
+        return parsed != nullptr;
       },
       [&](const core::Error& error) {
         message = error.message;
@@ -246,8 +246,8 @@
   std::string message;
   (void)boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<bool> {
-        BOOST_LEAF_CHECK(StoreAdapter().parse_newest({200, {}, R"({"items":[{"key":"config","value":"c2VjcmV0)"}));
-        return true;
+        BOOST_LEAF_AUTO(page, StoreAdapter().parse_newest({200, {}, R"({"items":[{"key":"config","value":"c2VjcmV0)"}));
+        return !page.more;
       },
       [&](const core::Error& error) {
         message = error.message;
