--- a/review/standins-2/harness.cc
+++ b/review/standins-2/harness.cc
@@ -238,6 +238,14 @@
   return send_all(bytes.append(response.body));
 }
 
+std::size_t Wire::read_some(std::size_t most, Clock::time_point deadline) const {
+  pollfd event{descriptor_, POLLIN, 0};
+  if (descriptor_ < 0 || poll(&event, 1, milliseconds_until(deadline)) <= 0) return 0;
+  std::string bytes(most, '\0');
+  const ssize_t size = recv(descriptor_, bytes.data(), bytes.size(), 0);
+  return size <= 0 ? 0 : static_cast<std::size_t>(size);
+}
+
 void Wire::shut_down() const { ::shutdown(descriptor_, SHUT_RDWR); }
 
 void Wire::reset() {
@@ -521,11 +529,13 @@
     }
     Headers headers = echo;
     headers.emplace_back("X-Server-Seal", "3e1b." + attempt);
-    if (!wire.write(Response{outcome.status, headers, "the bytes for " + attempt})) return;
+    const std::string body =
+        outcome.body_bytes == 0 ? "the bytes for " + attempt : std::string(outcome.body_bytes, 'b');
+    if (!wire.write(Response{outcome.status, headers, body})) return;
   }
 }
 
-Daemon::Daemon(const Machine& machine, const Address& store, const std::string& folder, int budget_slack)
+Daemon::Daemon(const Machine& machine, const Address& store, const std::string& folder, int budget_slack, int memory_mb)
     : machine_(machine),
       settings_path_(folder + "/" + machine.name + ".json"),
       log_path_(folder + "/" + machine.name + ".log") {
@@ -543,7 +553,7 @@
       {"platform.address", to_string(store)},
       {"heartbeat", "1500ms"},
       {"limits.max_fds", "4100"},
-      {"limits.memory_mb", "260"},
+      {"limits.memory_mb", std::to_string(memory_mb)},
       {"contract_params.drain", "2000ms"},
       {"contract_params.grace", "6s"},
       {"contract_params.budget_ratio", "0.2"},
@@ -590,6 +600,15 @@
   process_ = -1;
 }
 
+std::size_t Daemon::resident_bytes() const {
+  if (process_ <= 0) return 0;
+  std::ifstream file("/proc/" + std::to_string(process_) + "/statm");
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 bool Daemon::ended_by_itself() {
   if (process_ <= 0 || waitpid(process_, nullptr, WNOHANG) != process_) return false;
   process_ = -1;
--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -86,6 +86,9 @@
   [[nodiscard]] bool read(Response& response, Clock::time_point deadline);
   [[nodiscard]] bool write(const Request& request);
   [[nodiscard]] bool write(const Response& response);
+  /// @brief Reads up to `most` bytes of whatever comes.
+  /// @return Their number; 0 if the connection has ended or the time is over.
+  [[nodiscard]] std::size_t read_some(std::size_t most, Clock::time_point deadline) const;
   /// @brief Ends both directions, which wakes a blocked reader.
   void shut_down() const;
   /// @brief Closes with a reset.
@@ -180,6 +183,8 @@
 struct Outcome {
   Ending ending = Ending::kAnswer;
   int status = 200;
+  /// Size of the body; 0 for a short one.
+  std::size_t body_bytes = 0;
 };
 
 /// @brief A server that sends heartbeats and runs requests. It runs only those that name its id.
@@ -230,10 +235,14 @@
   std::thread heartbeats_;
 };
 
+/// `memory_mb` of the small deployments.
+constexpr int kMemoryMb = 260;
+
 /// A daemon process, started with the command of the deploy file.
 class Daemon {
  public:
-  Daemon(const Machine& machine, const Address& store, const std::string& folder, int budget_slack);
+  Daemon(const Machine& machine, const Address& store, const std::string& folder, int budget_slack,
+         int memory_mb = kMemoryMb);
   ~Daemon();
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
@@ -243,6 +252,8 @@
   /// @brief Kills the process and waits for its end.
   void kill();
   [[nodiscard]] bool running() const noexcept { return process_ > 0; }
+  /// @return Memory that the process holds; 0 if it doesn't run.
+  [[nodiscard]] std::size_t resident_bytes() const;
   /// @return Whether the process ended by itself.
   [[nodiscard]] bool ended_by_itself();
   [[nodiscard]] std::string log() const;
