--- a/review/standins-2/harness.cc
+++ b/review/standins-2/harness.cc
@@ -301,13 +301,13 @@
 void Listener::stop() {
   if (stopping_.exchange(true)) return;
   acceptor_.join();
-  ::close(descriptor_);
   std::vector<std::thread> threads;
   {
     const std::lock_guard lock(mutex_);
     for (const auto& wire : wires_) wire->shut_down();
     threads.swap(threads_);
   }
+  ::close(descriptor_);
   for (std::thread& thread : threads) thread.join();
 }
 
