Agree on a coordinator of the quotas although those that rank first are gone

Cause: QuotaService asked only the four daemons that rank first of all that were ever listed. With these gone each daemon was its own coordinator, and after 15 s a coordinator counted only the daemons that report to it, so that each granted the whole quota. Evidence: after the fourth loss, each of the six logs names the daemon itself in quota_coordinator, while "peer" shows open connections to the other five.

Change: daemons that cannot be reached are passed over. Daemons count as gone only for a coordinator that holds a lease on the store and is not connected to them; without it a coordinator grants the share of the daemons that report. quota::Lease decides, LeaseClient makes the calls, none while all daemons report.

Related path: both sides of a partition longer than 15 s granted the whole quota.

Conclusion: works because exactly one process can hold the record on the store, and time spent suspended counts.

--- a/src/damaskthread/mesh/adapter.h
+++ b/src/damaskthread/mesh/adapter.h
@@ -53,6 +53,7 @@
 enum class Topic : std::uint8_t {
   kConfiguration,  ///< Written by operators.
   kMembers,        ///< Written by daemons: the address of each.
+  kLeases,         ///< Written by daemons: the holder of each lease.
 };
 
 /// A record of a topic.
@@ -112,6 +113,9 @@
                                               std::chrono::milliseconds wait) const = 0;
   /// @brief Creates a request that sets a key.
   [[nodiscard]] virtual http::Request put(Topic topic, std::string_view key, std::string_view value) const = 0;
+  /// @brief Creates a request that sets a key, which the store carries out only if the topic ends at an offset.
+  [[nodiscard]] virtual http::Request put_at(Topic topic, std::string_view key, std::string_view value,
+                                             std::uint64_t end) const = 0;
   /// @brief Decodes the response to `newest`. Errors are `core::Error`.
   [[nodiscard]] virtual boost::leaf::result<NewestPage> parse_newest(const http::Response& response) const = 0;
   /// @brief Decodes the response to `changes`. Errors are `core::Error`.
--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -26,6 +26,7 @@
 #include "damaskthread/mesh/fleet.h"
 #include "damaskthread/mesh/http_listener.h"
 #include "damaskthread/mesh/ingress.h"
+#include "damaskthread/mesh/lease_client.h"
 #include "damaskthread/mesh/local_executor.h"
 #include "damaskthread/mesh/member_entry.h"
 #include "damaskthread/mesh/peer_listener.h"
@@ -111,6 +112,7 @@
         server_pool(settings.policy.placement),
         gate(io, adapter, settings, log, crash_tally, gate_hooks()),
         fleet(io, {self, settings.zone, settings.service}, incarnation, log, fleet_hooks(), settings.policy.links),
+        quota_lease(io, adapter, to_http_endpoint(settings.store), log, self),
         quota(self, log, quota_hooks()),
         watch_duty(overlay::ring_position(self), now()),
         configuration_pull(incarnation.value),
@@ -184,7 +186,7 @@
     hooks.configuration = [this](const peer::Configuration& sent) { (void)apply_configuration(sent.document, "peer"); };
     hooks.crash = [this](const peer::CrashNotice& crash) { on_crash_notice(crash); };
     hooks.quota_grant = [this](const std::string& endpoint, const quota::Grant& grant) {
-      quota.on_grant(endpoint, grant);
+      quota.on_grant(endpoint, grant, now());
     };
     return hooks;
   }
@@ -197,6 +199,15 @@
       link->send(message);
       return true;
     };
+    hooks.reachable = [this](const std::string& endpoint) {
+      const PeerLink* const link = fleet.link(endpoint);
+      return link != nullptr && link->reachable();
+    };
+    hooks.reachable_count = [this] {
+      return static_cast<std::size_t>(
+          std::ranges::count_if(fleet.links(), [](const auto& entry) { return entry.second->reachable(); }));
+    };
+    hooks.lease_held = [this](core::TimePoint time) { return quota_lease.held(time); };
     hooks.granted = [this] { ingress.on_quota_granted(now()); };
     return hooks;
   }
@@ -222,7 +233,7 @@
       return [reservation](std::string&& body) { return make_shared_body(std::move(body), std::move(*reservation)); };
     };
     hooks.on_quota_report = [this](const std::string& endpoint, const quota::Report& report) {
-      return quota.on_report(endpoint, report);
+      return quota.on_report(endpoint, report, now());
     };
     return hooks;
   }
@@ -289,7 +300,7 @@
     configuration_document = document;
     ingress.set_table(table);
     call_listener.set_caller_limits(table->caller_limits());
-    quota.set_tenants(table->tenants());
+    quota.set_tenants(table->tenants(), now());
     log.line(LogClass::kStateChange, "configuration",
              {{"version", static_cast<std::int64_t>(table->version())},
               {"source", source},
@@ -571,11 +582,12 @@
     if (time - last_plan_time >= (fleet_changed ? kLinkReplanInterval : kLinkPlanInterval)) {
       last_plan_time = time;
       planned_fleet_size = fleet.size();
-      quota.set_members(fleet.endpoints());
+      quota.set_members(fleet.endpoints(), time);
       fleet.plan(ingress.interests(time), quota.coordinator_candidates(), time);
       update_watch(time);
     }
     gate.tick(time);
+    quota_lease.tick(quota.lease_wanted(time), time);
     quota.tick(time);
     ingress.tick(time);
     if (time >= sweep_due) {
@@ -667,6 +679,7 @@
   entrance::CallGraph call_graph;
   LocalExecutor gate;
   Fleet fleet;
+  LeaseClient quota_lease;
   QuotaService quota;
   overlay::WatchDuty watch_duty;
   overlay::ConfigurationPull configuration_pull;
--- a/src/damaskthread/mesh/fwd.h
+++ b/src/damaskthread/mesh/fwd.h
@@ -19,6 +19,7 @@
 class HttpConnection;
 class HttpListener;
 class Ingress;
+class LeaseClient;
 class PeerLink;
 class PeerListener;
 class QuotaService;
--- a/src/damaskthread/mesh/quota_service.cc
+++ b/src/damaskthread/mesh/quota_service.cc
@@ -7,16 +7,25 @@
 #include <cstdint>
 #include <utility>
 
-#include "damaskthread/mesh/clock.h"
-
 namespace damaskthread::mesh {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Connections to this many daemons are kept, so that a network partition rarely separates a daemon from all of them.
+// Connections to this many reachable daemons are kept, so that a network partition rarely separates a daemon from all
+// of them. As many connections are attempted at a time to daemons of which nothing is known yet.
 constexpr std::size_t kCandidates = 4;
+// A candidate that could not be reached for this time is passed over.
+constexpr core::Duration kPassOverTime = milliseconds{1500};
+// Daemons passed over to which connections are still attempted, so that one that returns is noticed at once.
+constexpr std::size_t kMaxRetriedCandidates = 8;
+// The other daemons that were passed over are tried again after this time.
+constexpr core::Duration kPassedOverLifetime = seconds{60};
+// Before a coordinator acquires the lease, daemons that start or change their coordinator have time to report.
+constexpr core::Duration kLeaseDelay = seconds{5};
+// The coordinator of a minority leaves the lease to that of a majority, if there is one.
+constexpr core::Duration kMinorityLeaseDelay = seconds{10};
 // A coordinator answers at once; this covers a busy one and the way between failure domains.
 constexpr core::Duration kAnswerTimeout = milliseconds{500};
 constexpr core::Duration kAvoidTime = seconds{10};
@@ -29,14 +38,20 @@
 }  // namespace
 
 QuotaService::QuotaService(std::string self, EventLog& log, Hooks hooks)
-    : self_(std::move(self)), log_(log), hooks_(std::move(hooks)), ranked_{self_} {}
+    : self_(std::move(self)), log_(log), hooks_(std::move(hooks)), ranked_{self_}, candidates_{self_} {}
 
-void QuotaService::set_tenants(const tenant::Directory& tenants) {
+void QuotaService::set_tenants(const tenant::Directory& tenants, core::TimePoint now) {
   ledger_.set_tenants(tenants.tenants());
-  coordinator_.set_tenants(tenants.tenants(), now());
+  coordinator_.set_tenants(tenants.tenants(), now);
+}
+
+void QuotaService::set_members(const std::vector<std::string>& endpoints, core::TimePoint now) {
+  rank_members(endpoints);
+  check_candidates(now);
+  reachable_ = static_cast<std::uint32_t>(hooks_.reachable_count()) + 1;
 }
 
-void QuotaService::set_members(const std::vector<std::string>& endpoints) {
+void QuotaService::rank_members(const std::vector<std::string>& endpoints) {
   if (endpoints.size() + 1 == ranked_.size() && std::all_of(endpoints.begin(), endpoints.end(), [this](const auto& e) {
         return std::find(ranked_.begin(), ranked_.end(), e) != ranked_.end();
       })) {
@@ -49,11 +64,56 @@
     const std::uint64_t rank_b = rank(b);
     return rank_a != rank_b ? rank_a > rank_b : a < b;
   });
+  std::erase_if(unreachable_since_, [this](const auto& entry) {
+    return std::find(ranked_.begin(), ranked_.end(), entry.first) == ranked_.end();
+  });
 }
 
 std::vector<std::string> QuotaService::coordinator_candidates() const {
   if (!ledger_.active()) return {};
-  return {ranked_.begin(), ranked_.begin() + static_cast<std::ptrdiff_t>(std::min(kCandidates, ranked_.size()))};
+  return candidates_;
+}
+
+void QuotaService::check_candidates(core::TimePoint now) {
+  candidates_.clear();
+  std::size_t reachable = 0;
+  std::size_t untried = 0;
+  std::size_t passed_over = 0;
+  for (const std::string& endpoint : ranked_) {
+    if (reachable == kCandidates) break;
+    if (endpoint == self_ || hooks_.reachable(endpoint)) {
+      unreachable_since_.erase(endpoint);
+      candidates_.push_back(endpoint);
+      ++reachable;
+      continue;
+    }
+    const auto since = unreachable_since_.find(endpoint);
+    if (since == unreachable_since_.end() || now - since->second <= kPassOverTime) {
+      if (untried == kCandidates) continue;
+      ++untried;
+      unreachable_since_.try_emplace(endpoint, now);
+    } else {
+      if (passed_over == kMaxRetriedCandidates) {
+        if (now - since->second > kPassedOverLifetime) unreachable_since_.erase(since);
+        continue;
+      }
+      ++passed_over;
+    }
+    candidates_.push_back(endpoint);
+  }
+}
+
+void QuotaService::check_completeness(core::TimePoint now) {
+  if (selected_ != self_ || coordinator_.complete()) {
+    incomplete_since_.reset();
+  } else if (!incomplete_since_) {
+    incomplete_since_ = now;
+  }
+}
+
+bool QuotaService::lease_wanted(core::TimePoint now) const {
+  if (!ledger_.active() || !incomplete_since_) return false;
+  return now - *incomplete_since_ >= (coordinator_.has_majority() ? kLeaseDelay : kMinorityLeaseDelay);
 }
 
 void QuotaService::select_coordinator(const std::string& endpoint) {
@@ -74,11 +134,13 @@
     return;
   }
   select_coordinator(self_);
-  on_grant(self_, on_report(self_, report));
+  on_grant(self_, on_report(self_, report, now), now);
 }
 
 void QuotaService::tick(core::TimePoint now) {
   if (!ledger_.active()) return;
+  coordinator_.set_fleet({static_cast<std::uint32_t>(ranked_.size()), reachable_, hooks_.lease_held(now)}, now);
+  check_completeness(now);
   if (awaiting_grant_ && now - awaited_since_ > kAnswerTimeout) {
     awaiting_grant_ = false;
     avoided_until_[selected_] = now + kAvoidTime;
@@ -88,14 +150,14 @@
   if (ledger_.report_due(now)) send_report(now);
 }
 
-quota::Grant QuotaService::on_report(const std::string& member, const quota::Report& report) {
-  return coordinator_.on_report(member, report, now());
+quota::Grant QuotaService::on_report(const std::string& member, const quota::Report& report, core::TimePoint now) {
+  return coordinator_.on_report(member, report, now);
 }
 
-void QuotaService::on_grant(const std::string& coordinator, const quota::Grant& grant) {
+void QuotaService::on_grant(const std::string& coordinator, const quota::Grant& grant, core::TimePoint now) {
   // A late grant of a former coordinator is still valid: its credits were charged there.
   if (coordinator == selected_) awaiting_grant_ = false;
-  ledger_.on_grant(grant, now());
+  ledger_.on_grant(grant, now);
   if (!grant.credits.empty()) hooks_.granted();
 }
 
--- a/src/damaskthread/quota/coordinator.cc
+++ b/src/damaskthread/quota/coordinator.cc
@@ -25,8 +25,7 @@
   const auto previous = std::exchange(buckets_, {});
   for (const tenant::Tenant& tenant : tenants) {
     if (!tenant.has_quota()) continue;
-    Bucket bucket{tenant.rate_per_second, tenant.burst, reporting_share_ >= kMajority ? options_.initial_credits : 0,
-                  now};
+    Bucket bucket{tenant.rate_per_second, tenant.burst, has_majority() ? options_.initial_credits : 0, now};
     if (const auto kept = previous.find(tenant.name); kept != previous.end()) {
       bucket.credits = kept->second.credits;
       bucket.updated = kept->second.updated;
@@ -36,25 +35,37 @@
   }
 }
 
+bool Coordinator::has_majority() const noexcept { return reporting_share_ >= kMajority; }
+
+void Coordinator::set_fleet(const FleetView& fleet, core::TimePoint now) noexcept {
+  if (fleet.exclusive && !fleet_.exclusive) exclusive_since_ = now;
+  fleet_ = fleet;
+}
+
+bool Coordinator::may_discount(core::TimePoint now) const noexcept {
+  return fleet_.exclusive && now - std::max(started_, exclusive_since_) >= options_.discovery_time;
+}
+
 void Coordinator::sum_members(core::TimePoint now) {
   std::erase_if(members_,
                 [this, now](const auto& entry) { return now - entry.second.last_report > options_.silent_time; });
   for (auto& [tenant, bucket] : buckets_) bucket.reserved_reporting = bucket.reserved_silent = 0;
-  std::size_t known = members_.size();
-  std::size_t reporting = 0;
+  reporting_ = 0;
+  listed_ = std::max<std::size_t>(members_.size(), fleet_.listed);
   for (const auto& [endpoint, member] : members_) {
     const bool silent = now - member.last_report > options_.member_timeout;
-    if (!silent) ++reporting;
-    if (now - started_ < options_.discovery_time) known = std::max<std::size_t>(known, member.fleet_size);
+    if (!silent) ++reporting_;
+    listed_ = std::max<std::size_t>(listed_, member.fleet_size);
     for (const auto& [tenant, per_second] : member.reserved_per_second) {
       const auto found = buckets_.find(tenant);
       if (found == buckets_.end()) continue;
       (silent ? found->second.reserved_silent : found->second.reserved_reporting) += per_second;
     }
   }
-  const double previous_share = std::exchange(
-      reporting_share_, static_cast<double>(reporting) / static_cast<double>(std::max<std::size_t>(1, known)));
-  if (previous_share >= kMajority || reporting_share_ < kMajority || known == 1) return;
+  const std::size_t known = may_discount(now) ? std::max<std::size_t>(members_.size(), fleet_.reachable) : listed_;
+  const double previous_share =
+      std::exchange(reporting_share_, static_cast<double>(reporting_) / static_cast<double>(known));
+  if (previous_share >= kMajority || !has_majority() || known == 1) return;
   for (auto& [tenant, bucket] : buckets_) {
     bucket.credits = std::min(std::max(bucket.credits, options_.initial_credits), capacity(bucket));
   }
@@ -120,7 +131,7 @@
   }
   Grant answer;
   answer.sequence = report.sequence;
-  answer.majority = reporting_share_ >= kMajority;
+  answer.majority = has_majority();
   for (const Demand& demand : report.demands) {
     Credit credit = grant(demand, now);
     if (credit.credits > 0 || credit.exhausted) answer.credits.push_back(std::move(credit));
--- a/src/damaskthread/quota/coordinator.h
+++ b/src/damaskthread/quota/coordinator.h
@@ -4,6 +4,7 @@
 /// @file
 /// @brief Divides the quotas of tenants among the daemons that report to it.
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <span>
@@ -23,8 +24,8 @@
   core::Duration member_timeout = std::chrono::milliseconds{600};
   /// How long a silent daemon counts as one that may follow another coordinator. Longer than an ordinary partition.
   core::Duration silent_time = std::chrono::seconds{30};
-  /// How long after its start a coordinator counts listed daemons that never reported to it. Some of them are gone for
-  /// good, so that it would never grant the whole quota otherwise.
+  /// How long a coordinator must have been the only one that counts daemons as gone before it does so. Some of the
+  /// listed daemons are gone for good, so that it would never grant the whole quota otherwise.
   core::Duration discovery_time = std::chrono::seconds{15};
   /// Part of the reserved rates that is granted whatever the share of the fleet. Reservations are averages that may
   /// contain a burst, so that their sum can exceed the quota a little.
@@ -39,6 +40,16 @@
   core::Duration sum_interval = std::chrono::milliseconds{50};
 };
 
+/// What a daemon knows of the fleet beyond the reports that it gets.
+struct FleetView {
+  /// Number of listed daemons, this one included.
+  std::uint32_t listed = 1;
+  /// Number of daemons known to be alive, this one included, whomever they report to.
+  std::uint32_t reachable = 1;
+  /// No other daemon counts daemons as gone at the moment.
+  bool exclusive = false;
+};
+
 /// @brief One token bucket for each tenant. It keeps nothing that must survive: a coordinator that takes over starts
 /// with almost empty buckets, which fill at the rate of the quota, so that the sum over a change of coordinators stays
 /// within rate and burst.
@@ -47,12 +58,18 @@
 /// they have reserved if these are larger: each daemon reports the rate at which it was admitting requests. The
 /// coordinator on the other side of a partition grants just that much. So both sides never grant more than the whole
 /// quota together, wherever a tenant's requests arrive.
+///
+/// A daemon that does not report may be gone, cut off, or report to another coordinator. Only an exclusive coordinator
+/// counts it as gone, and only if it is not known to be alive; any number of others may act at the same time, and each
+/// grants the share of the daemons that report to it.
 class Coordinator {
  public:
   explicit Coordinator(const CoordinatorOptions& options = {}) noexcept : options_(options) {}
 
   /// @brief Sets the tenants of the configuration in force.
   void set_tenants(std::span<const tenant::Tenant> tenants, core::TimePoint now);
+  /// @brief Sets what this daemon knows of the fleet.
+  void set_fleet(const FleetView& fleet, core::TimePoint now) noexcept;
   /// @brief Processes the report of a daemon.
   /// @param member Endpoint of the daemon.
   /// @return The credits that it may use.
@@ -60,6 +77,10 @@
 
   /// @return Share of the known daemons that report to this coordinator.
   [[nodiscard]] double reporting_share() const noexcept { return reporting_share_; }
+  /// @return Whether at least half of the known daemons report to this coordinator.
+  [[nodiscard]] bool has_majority() const noexcept;
+  /// @return Whether all listed daemons report to this coordinator, so that none has to be counted as gone.
+  [[nodiscard]] bool complete() const noexcept { return reporting_ >= listed_; }
 
  private:
   struct Bucket {
@@ -85,6 +106,8 @@
   [[nodiscard]] Credit grant(const Demand& demand, core::TimePoint now);
   void record_report(const std::string& member, const Report& report, core::TimePoint now);
   void restart(core::TimePoint now);
+  /// Whether listed daemons that are neither reporting nor known to be alive count as gone.
+  [[nodiscard]] bool may_discount(core::TimePoint now) const noexcept;
 
   CoordinatorOptions options_;
   std::unordered_map<std::string, Bucket> buckets_;
@@ -92,6 +115,12 @@
   core::TimePoint started_;
   core::TimePoint summed_;
   core::TimePoint last_report_;
+  FleetView fleet_;
+  /// Time since which this coordinator has been the exclusive one.
+  core::TimePoint exclusive_since_;
+  std::size_t reporting_ = 0;
+  /// Largest number of daemons that this daemon or one that reports knows.
+  std::size_t listed_ = 1;
   double reporting_share_ = 0;
 };
 
--- a/src/damaskthread/quota/fwd.h
+++ b/src/damaskthread/quota/fwd.h
@@ -8,8 +8,11 @@
 struct Credit;
 struct Grant;
 struct QuotaState;
+struct FleetView;
+struct LeaseOptions;
 class Ledger;
 class Coordinator;
+class Lease;
 
 }  // namespace damaskthread::quota
 
--- a/test/damaskthread/mesh/explanation_test.cc
+++ b/test/damaskthread/mesh/explanation_test.cc
@@ -36,7 +36,12 @@
                  {[] {}, [](const quarantine::CrashReport&) {}, [](const std::string&) { return std::string(); },
                   [](const std::string&) { return 2; }}),
         fleet(io, {kOwnEndpoint, "z", "s"}, core::Incarnation{7}, log, {}),
-        quota(kOwnEndpoint, log, {[](const std::string&, const peer::Message&) { return false; }, [] {}}),
+        quota(kOwnEndpoint, log,
+              {.send = [](const std::string&, const peer::Message&) { return false; },
+               .reachable = [](const std::string&) { return false; },
+               .reachable_count = [] { return std::size_t{0}; },
+               .lease_held = [](core::TimePoint) { return false; },
+               .granted = [] {}}),
         ingress({adapter, log, registry, pool, graph, fleet, executor, quota, policy}, kOwnEndpoint,
                 core::Incarnation{seed}) {
     add("s", kOwnEndpoint, true);
@@ -63,7 +68,7 @@
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void> {
           BOOST_LEAF_AUTO(tenants, tenant::Directory::create(std::move(declarations)));
-          quota.set_tenants(tenants);
+          quota.set_tenants(tenants, time);
           ingress.set_table(std::make_shared<route::RouteTable>(
               5, std::vector<route::Route>{route}, std::unordered_map<std::string, route::ServiceProperties>{},
               route::CallerLimits{}, std::move(tenants)));
--- a/test/damaskthread/quota/quota_test.cc
+++ b/test/damaskthread/quota/quota_test.cc
@@ -201,6 +201,18 @@
   }
 }
 
+// After 15 s each side counted the daemons of the other one as gone.
+TEST_CASE("a long network partition does not raise the quota") {
+  QuotaFleet fleet(20, 160, 160);
+  fleet.set_load(0, 20, 100);
+  fleet.run(seconds(6));
+  fleet.partition(10);
+  fleet.run(seconds(45));
+  fleet.set_load(0, 20, 750);
+  fleet.run(seconds(10));
+  CHECK(fleet.worst_window() <= 1);
+}
+
 TEST_CASE("a daemon that is cut off goes on at its recent rate") {
   QuotaFleet fleet(20, 16, 16);
   fleet.set_load(19, 20, 8);
--- a/test/meshfleet/store.cc
+++ b/test/meshfleet/store.cc
@@ -62,6 +62,9 @@
   }
   const std::string topic = query_value(target, "topic");
   if (target.starts_with("/log-append")) {
+    const std::string at = query_value(target, "at");
+    const std::size_t end = topics_[topic].records.size();
+    if (!at.empty() && parse_number(at) != end) return answer(request, {412, {}, Json{{"end", end}}.dump()});
     append(topic, request->request.body);
     if (fault_ == Fault::kLoseAnswers) {
       unanswered_.push_back(request);
--- a/test/platform/adapter_test.cc
+++ b/test/platform/adapter_test.cc
@@ -265,4 +265,12 @@
   CHECK(request.body == std::string("\0\0\0\x09\x03", 5) + "keyvalue");
 }
 
+TEST_CASE("a conditional write names the offset at which the topic must end") {
+  const StoreAdapter adapter;
+  const http::Request request = adapter.put_at(mesh::Topic::kLeases, "key", "value", 12);
+  CHECK(request.method == "POST");
+  CHECK(request.target == "/log-append?topic=keyed.leases&part=0&at=12");
+  CHECK(request.body == std::string("\0\0\0\x09\x03", 5) + "keyvalue");
+}
+
 }  // namespace damaskthread::platform
--- a/test/support/mesh_adapter.h
+++ b/test/support/mesh_adapter.h
@@ -5,6 +5,7 @@
 /// @brief An adapter with different header names, which ensures that the mesh does not depend on one platform.
 
 #include <boost/leaf/error.hpp>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -40,6 +41,10 @@
                                   std::string_view /*value*/) const override {
     return {};
   }
+  [[nodiscard]] http::Request put_at(mesh::Topic /*topic*/, std::string_view /*key*/, std::string_view /*value*/,
+                                     std::uint64_t /*end*/) const override {
+    return {};
+  }
   [[nodiscard]] boost::leaf::result<mesh::NewestPage> parse_newest(const http::Response& /*response*/) const override {
     return mesh::NewestPage{};
   }
