Let in calls of a request whose caller has left

Cause: a call carries no key and is let in as a call of a request that runs at the local server. The executor forgot a run as soon as its caller had left or its response was lost, while the server may work on it until its deadline.

Change: LocalExecutor keeps what calls inherit from such a run until its deadline.

Conclusion: works because the deadline bounds how long a server may call for a request.

--- a/src/damaskthread/mesh/ingress.cc
+++ b/src/damaskthread/mesh/ingress.cc
@@ -35,6 +35,7 @@
 constexpr std::string_view kNoConfiguration = "no configuration yet";
 constexpr std::string_view kNoRoute = "no route";
 constexpr std::string_view kNoValidKey = "no valid key";
+constexpr std::string_view kUnknownParent = "calling request unknown since a restart";
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kTooManyRequests = 429;
@@ -130,6 +131,12 @@
   exchange->priority = route->priority;
   inherit_from_parent(*exchange, time);
   if (!authorize(*exchange)) {
+    // After a restart of the daemon the server may still work on requests, and make calls, that only the former process
+    // knew.
+    if (!exchange->parent_id.empty() && http::find(headers, names.credentials).empty() &&
+        dependencies_.executor.may_run_unknown(time)) {
+      return refuse_unrouted(caller, kUnavailable, kUnknownParent, kUnconfiguredRetryAfter);
+    }
     return refuse_unrouted(caller, kUnauthorized, kNoValidKey, core::Duration::zero());
   }
   exchange->service = split_.next(*route, random_).service;
@@ -224,10 +231,10 @@
 
 void Ingress::inherit_from_parent(Exchange& exchange, core::TimePoint now) {
   const std::string_view parent_id = dependencies_.adapter.parent_attempt(exchange.attempt_id);
-  const auto parent = parent_id.empty() ? std::nullopt : dependencies_.executor.running_attempt(parent_id);
+  exchange.parent_id = parent_id;
+  const auto parent = parent_id.empty() ? std::nullopt : dependencies_.executor.find_parent(parent_id);
   if (!parent) return;
   exchange.inner = true;
-  exchange.parent_id = parent_id;
   exchange.priority = std::min(parent->priority, exchange.priority);
   exchange.repeat = parent->repeat;
   exchange.calls_left = parent->calls_left;
--- a/src/damaskthread/mesh/local_executor.cc
+++ b/src/damaskthread/mesh/local_executor.cc
@@ -42,6 +42,10 @@
 constexpr std::size_t kMegabyte = std::size_t{1} << 20U;
 // Total body size of the responses kept for senders that resume; responses beyond it are dropped.
 constexpr std::size_t kMaxRetainedBytes = std::size_t{16} << 20U;
+// Runs kept for the calls that the server may still make for them. A server runs far fewer at a time.
+constexpr std::size_t kMaxAbandonedRuns = 4096;
+// Covers the way of a call that the server makes right before the deadline of its run.
+constexpr core::Duration kCallMargin = milliseconds{500};
 constexpr double kUntrackedSmoothing = 0.1;
 // A daemon that starts beside a server older than this does not ramp it up.
 constexpr core::Duration kRecentStart = seconds{5};
@@ -102,7 +106,8 @@
       ramp_up_(settings.policy.pace),
       budget_(repeat_options(settings), now()),
       connections_(io, adapter.headers().attempt_id, answer_memory(settings)),
-      last_tick_(now()) {
+      started_(now()),
+      last_tick_(started_) {
   connections_.set_endpoint({settings.local_server.host, settings.local_server.port});
 }
 
@@ -324,13 +329,28 @@
   end(run, make_result(core::not_run(cause), false));
 }
 
-std::optional<LocalExecutor::ParentRequest> LocalExecutor::running_attempt(std::string_view attempt_id) const {
-  const auto found = running_attempts_.find(attempt_id);
-  if (found == running_attempts_.end()) return std::nullopt;
-  const Run& run = *found->second;
+LocalExecutor::ParentRequest LocalExecutor::parent_request(const Run& run) const {
   // The call of the run itself is one of the calls that its tree has left.
   const int calls_left = run.execute.calls_left - 1 + progress_.calls_left(run.execute.kind, run.served_calls);
-  return ParentRequest{run.execute.kind, run.execute.priority, run.execute.repeat, calls_left};
+  return {run.execute.kind, run.execute.priority, run.execute.repeat, calls_left};
+}
+
+std::optional<LocalExecutor::ParentRequest> LocalExecutor::find_parent(std::string_view attempt_id) const {
+  if (const auto running = running_attempts_.find(attempt_id); running != running_attempts_.end()) {
+    return parent_request(*running->second);
+  }
+  if (const auto abandoned = abandoned_runs_.find(attempt_id); abandoned != abandoned_runs_.end()) {
+    return abandoned->second.request;
+  }
+  return std::nullopt;
+}
+
+bool LocalExecutor::may_run_unknown(core::TimePoint now) const noexcept { return now - started_ < kResultRetention; }
+
+void LocalExecutor::retain_abandoned(const Run& run, core::TimePoint now) {
+  if (run.deadline <= now || abandoned_runs_.size() >= kMaxAbandonedRuns) return;
+  abandoned_runs_.insert_or_assign(run.execute.attempt_id,
+                                   AbandonedRun{run.deadline + kCallMargin, parent_request(run)});
 }
 
 void LocalExecutor::record_served_call(std::string_view attempt_id) {
@@ -347,6 +367,7 @@
   runs_.erase(run->key);
   const auto running = running_attempts_.find(run->execute.attempt_id);
   if (running != running_attempts_.end() && running->second == run) running_attempts_.erase(running);
+  if (!result.answered && result.verdict.execution == core::Execution::kMayHaveRun) retain_abandoned(*run, now());
   result.stream = run->key.stream;
   result.load = load(now());
   if (!result.answered || result.response.status >= kFirstFailureStatus) {
@@ -618,6 +639,7 @@
     retained_bytes_ -= entry.second.result.response.body.size();
     return true;
   });
+  std::erase_if(abandoned_runs_, [now](const auto& entry) { return entry.second.expires_at <= now; });
   connections_.sweep(now);
 }
 
--- a/src/damaskthread/mesh/local_executor.h
+++ b/src/damaskthread/mesh/local_executor.h
@@ -83,7 +83,7 @@
   /// @brief Starts deferred and queued requests, ends expired ones and probes an unverified server.
   void tick(core::TimePoint now);
 
-  /// Attributes that a nested call inherits from the running request that made it.
+  /// Attributes that a nested call inherits from the request that made it.
   struct ParentRequest {
     std::string kind;
     int priority = 0;
@@ -91,8 +91,11 @@
     /// Expected number of calls that the call tree still has to make, the next one included.
     int calls_left = 1;
   };
-  /// @brief Finds the running request with an attempt id.
-  [[nodiscard]] std::optional<ParentRequest> running_attempt(std::string_view attempt_id) const;
+  /// @brief Finds the request with an attempt id that is running at the server, or may still be although its sender has
+  /// left or its response was lost.
+  [[nodiscard]] std::optional<ParentRequest> find_parent(std::string_view attempt_id) const;
+  /// @brief Whether the server may be running requests of a former process of this daemon, which are not known.
+  [[nodiscard]] bool may_run_unknown(core::TimePoint now) const noexcept;
 
   /// @brief Records that a nested call of a running request was served.
   void record_served_call(std::string_view attempt_id);
@@ -128,6 +131,10 @@
     core::TimePoint expires_at;
     peer::Result result;
   };
+  struct AbandonedRun {
+    core::TimePoint expires_at;
+    ParentRequest request;
+  };
   using RunPointer = std::shared_ptr<Run>;
 
   void admit(const RunPointer& run, core::TimePoint now);
@@ -150,6 +157,9 @@
   void refuse(const RunPointer& run, core::Cause cause);
   void end(const RunPointer& run, peer::Result result);
   void retain_result(RunKey key, peer::Result result);
+  [[nodiscard]] ParentRequest parent_request(const Run& run) const;
+  /// Keeps what calls of a run inherit, since the server may work on it until its deadline.
+  void retain_abandoned(const Run& run, core::TimePoint now);
   void stop_run(const RunPointer& run, core::Cause cause);
   void apply_server_state(core::TimePoint now);
   void start_queued(core::TimePoint now);
@@ -178,9 +188,11 @@
   gate::ServerState applied_state_ = gate::ServerState::kUnknown;
   std::optional<gate::ServerIncarnation> applied_departure_;
   bool stopping_ = false;
+  core::TimePoint started_;
 
   std::map<RunKey, RunPointer> runs_;
   std::map<std::string, RunPointer, std::less<>> running_attempts_;
+  std::map<std::string, AbandonedRun, std::less<>> abandoned_runs_;
   /// Queued runs by ticket.
   std::unordered_map<std::uint64_t, RunPointer> queued_runs_;
   std::uint64_t next_ticket_ = 1;
--- a/test/damaskthread/mesh/ingress_test.cc
+++ b/test/damaskthread/mesh/ingress_test.cc
@@ -64,6 +64,11 @@
       // The local server is in the same zone, so that it is chosen first.
       pool.set_server(endpoint, std::string(endpoint) == kOwnEndpoint, {"s", true, {10, 0, 0, milliseconds{1}}}, now());
     }
+    connect();
+  }
+
+  void connect() {
+    caller = boost::asio::ip::tcp::socket(io);
     caller.connect({boost::asio::ip::make_address("127.0.0.1"), listener.port()});
     caller.non_blocking(true);
   }
@@ -86,10 +91,35 @@
         [] { FAIL("the tenants are invalid"); });
   }
 
-  std::string send_request(const std::string& headers = "") {
-    boost::asio::write(caller,
-                       boost::asio::buffer("GET /x HTTP/1.1\r\nHost: h.example\r\nAttempt: a\r\nTime-Left: 3000\r\n" +
-                                           headers + "\r\n"));
+  void write_request(const std::string& headers, const std::string& attempt = "a") {
+    boost::asio::write(caller, boost::asio::buffer("GET /x HTTP/1.1\r\nHost: h.example\r\nAttempt: " + attempt +
+                                                   "\r\nTime-Left: 3000\r\n" + headers + "\r\n"));
+  }
+
+  // Sends a request whose caller leaves as soon as the server has it.
+  void send_abandoned_request(const std::string& headers) {
+    const std::size_t before = server.requests.size();
+    write_request(headers);
+    REQUIRE(run_until([&] { return server.requests.size() > before; }));
+    connect();
+    REQUIRE(run_until([&] { return executor.active() == 0; }));
+  }
+
+  template <typename Condition>
+  bool run_until(Condition condition) {
+    const auto end = std::chrono::steady_clock::now() + kTestTimeout;
+    while (!condition()) {
+      if (std::chrono::steady_clock::now() > end) return false;
+      io.run_for(milliseconds(2));
+      io.restart();
+      executor.tick(now());
+      ingress.tick(now());
+    }
+    return true;
+  }
+
+  std::string send_request(const std::string& headers = "", const std::string& attempt = "a") {
+    write_request(headers, attempt);
     std::string received;
     const auto end = std::chrono::steady_clock::now() + kTestTimeout;
     while (received.find("\r\n\r\n") == std::string::npos && std::chrono::steady_clock::now() < end) {
@@ -124,8 +154,9 @@
   boost::asio::ip::tcp::socket caller;
 };
 
-std::string answer(int status) {
-  return "HTTP/1.1 " + std::to_string(status) + " X\r\nAttempt: a\r\nSeal: x\r\nContent-Length: 0\r\n\r\n";
+std::string answer(int status, const std::string& attempt = "a") {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\nAttempt: " + attempt +
+         "\r\nSeal: x\r\nContent-Length: 0\r\n\r\n";
 }
 
 }  // namespace
@@ -206,6 +237,34 @@
   CHECK(http::find(fixture.server.requests[1].headers, "Tenant").empty());
 }
 
+// The server got 401 for its call and failed a request that it was running (review/8).
+TEST_CASE("the call of a request whose caller has left needs no key") {
+  IngressFixture fixture(false);
+  fixture.server.script = [](const http::Request& request, ScriptedServer::Connection& connection) {
+    const std::string attempt(http::find(request.headers, "Attempt"));
+    if (attempt != "a") connection.write(answer(200, attempt));
+  };
+  fixture.set_tenants({{{"a", std::nullopt, 0, 0}, {"secret"}}});
+  fixture.send_abandoned_request("Credentials: Bearer secret\r\n");
+  const std::string received = fixture.send_request("", "a/1");
+  CHECK_MESSAGE(received.starts_with("HTTP/1.1 200"), received);
+  CHECK(fixture.send_request("").starts_with("HTTP/1.1 401"));
+}
+
+// The server may be running requests that only the process before a restart knew. 401 would be final for their calls.
+TEST_CASE("a call of an unknown request is refused as not run soon after the start") {
+  IngressFixture fixture(false);
+  fixture.server.script = [](const http::Request&, ScriptedServer::Connection& connection) {
+    connection.write(answer(200));
+  };
+  fixture.set_tenants({{{"a", std::nullopt, 0, 0}, {"secret"}}});
+  const std::string received = fixture.send_request("", "unknown/1");
+  CHECK_MESSAGE(received.starts_with("HTTP/1.1 503"), received);
+  CHECK(received.find("Retry-After: ") != std::string::npos);
+  CHECK(fixture.send_request("Credentials: Bearer wrong\r\n", "unknown/1").starts_with("HTTP/1.1 401"));
+  CHECK(fixture.server.requests.empty());
+}
+
 // A connection outlives the key that its first requests carried.
 TEST_CASE("a key that a new configuration no longer contains is refused on an open connection") {
   IngressFixture fixture(true);
--- a/test/damaskthread/mesh/local_executor_test.cc
+++ b/test/damaskthread/mesh/local_executor_test.cc
@@ -453,6 +453,39 @@
   CHECK(fixture.executor.active() == 0);
 }
 
+// A server that goes on working after its caller has left still makes calls, which were refused.
+TEST_CASE("the calls of a request whose sender has left or whose response was lost are known until its deadline") {
+  for (const bool lost : {false, true}) {
+    ExecutorFixture fixture;
+    fixture.server.script = [&](const http::Request&, ScriptedServer::Connection& connection) {
+      if (lost) connection.reset();
+    };
+    peer::Execute execute = ExecutorFixture::request(1);
+    execute.time_left = milliseconds{400};
+    execute.priority = 3;
+    fixture.executor.execute(kSender, std::move(execute), fixture.reply());
+    REQUIRE(fixture.wait([&] { return !fixture.server.requests.empty(); }));
+    if (!lost) fixture.executor.cancel({kSender, 1});
+    REQUIRE(fixture.wait([&] { return fixture.executor.active() == 0; }));
+    REQUIRE(fixture.executor.find_parent("attempt-1"));
+    CHECK(fixture.executor.find_parent("attempt-1")->priority == 3);
+    CHECK(!fixture.executor.find_parent("attempt-2"));
+    CHECK(fixture.wait([&] { return !fixture.executor.find_parent("attempt-1"); }));
+  }
+}
+
+TEST_CASE("the calls of a request that was answered or did not run are unknown") {
+  ExecutorFixture fixture;
+  fixture.server.script = [](const http::Request& request, ScriptedServer::Connection& connection) {
+    const bool first = http::find(request.headers, "Attempt") == "attempt-1";
+    connection.write(first ? answer(request, "done") : "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  };
+  (void)fixture.execute_and_wait(ExecutorFixture::request(1));
+  (void)fixture.execute_and_wait(ExecutorFixture::request(2));
+  CHECK(!fixture.executor.find_parent("attempt-1"));
+  CHECK(!fixture.executor.find_parent("attempt-2"));
+}
+
 TEST_CASE("only an idempotent request is resent after the server closed a reused connection") {
   for (const bool idempotent : {true, false}) {
     // Earlier requests; the repeat budget is a share of them.
@@ -528,7 +561,7 @@
   fixture.server.script = [&](const http::Request& request, ScriptedServer::Connection& connection) {
     const std::string attempt(http::find(request.headers, "Attempt"));
     for (int call = 0; call < kCalls; ++call) {
-      calls_left.push_back(fixture.executor.running_attempt(attempt)->calls_left);
+      calls_left.push_back(fixture.executor.find_parent(attempt)->calls_left);
       fixture.executor.record_served_call(attempt);
     }
     connection.write(answer(request, "done"));
