Do not resend a request to a server that is leaving

Cause: LocalExecutor resends an idempotent request whose reused connection broke. That branch looked at the deadline and the budget, not at what admit() looks at.

Change: refusal_cause() decides for both. Related paths by the same branch: a request quarantined meanwhile, and a server of another service at the same address.

Measured: with the check taken out, "... is not resent to a server that is leaving" has 22 requests at the server instead of 21; with a check of the state alone, "... to a server that must not get it" fails for both paths.

Conclusion: works because every send to the server passes the same decision.

--- a/src/damaskthread/mesh/local_executor.cc
+++ b/src/damaskthread/mesh/local_executor.cc
@@ -158,17 +158,23 @@
   admit(run, time);
 }
 
-void LocalExecutor::admit(const RunPointer& run, core::TimePoint now) {
-  if (run->execute.body_dropped) return refuse(run, core::Cause::kOverload);
-  if (run->deadline <= now) return refuse(run, core::Cause::kDeadline);
-  if (tally_.held(run->fingerprint, now)) return refuse(run, core::Cause::kQuarantined);
+core::Cause LocalExecutor::refusal_cause(const Run& run, core::TimePoint now) const {
+  if (run.execute.body_dropped) return core::Cause::kOverload;
+  if (run.deadline <= now) return core::Cause::kDeadline;
+  if (tally_.held(run.fingerprint, now)) return core::Cause::kQuarantined;
   const gate::ServerState state = life_.state(now);
   if (stopping_ || state == gate::ServerState::kLeaving || state == gate::ServerState::kGone) {
-    return refuse(run, core::Cause::kLeaving);
+    return core::Cause::kLeaving;
   }
-  if (state != gate::ServerState::kReady || life_.last_heartbeat()->service != run->execute.service) {
-    return refuse(run, core::Cause::kNoServer);
+  if (state != gate::ServerState::kReady || life_.last_heartbeat()->service != run.execute.service) {
+    return core::Cause::kNoServer;
   }
+  return core::Cause::kNone;
+}
+
+void LocalExecutor::admit(const RunPointer& run, core::TimePoint now) {
+  const core::Cause cause = refusal_cause(*run, now);
+  if (cause != core::Cause::kNone) return refuse(run, cause);
   if (run->execute.repeat && !consume_repeat_budget(*run, now)) {
     return refuse(run, core::Cause::kRetryBound);
   }
@@ -225,7 +231,9 @@
   connections_.release(std::exchange(run->connection, nullptr), time);
   const bool lost_reused =
       exchange.outcome == ExchangeOutcome::kConnectionLost && exchange.reused && run->execute.idempotent;
-  if (lost_reused && !run->resent && run->deadline > time && consume_repeat_budget(*run, time)) {
+  // Otherwise the sender chooses another server.
+  const bool resendable = lost_reused && !run->resent && refusal_cause(*run, time) == core::Cause::kNone;
+  if (resendable && consume_repeat_budget(*run, time)) {
     // The server most likely closed the idle connection, but it may have run the request. The second send therefore
     // counts as a repeat, as do its nested calls.
     run->resent = true;
--- a/src/damaskthread/mesh/local_executor.h
+++ b/src/damaskthread/mesh/local_executor.h
@@ -137,6 +137,9 @@
   };
   using RunPointer = std::shared_ptr<Run>;
 
+  /// Why the server must not get a request now.
+  /// @return `kNone` if it may.
+  [[nodiscard]] core::Cause refusal_cause(const Run& run, core::TimePoint now) const;
   void admit(const RunPointer& run, core::TimePoint now);
   /// Charges a repeat of a request to the repeat budget.
   /// @return Whether the budget allows it.
--- a/test/damaskthread/mesh/local_executor_test.cc
+++ b/test/damaskthread/mesh/local_executor_test.cc
@@ -121,6 +121,19 @@
   LocalExecutor executor;
 };
 
+// The fingerprint of a request is private to the executor, so it is taken from the report of a crash.
+std::uint64_t fingerprint_of(const peer::Execute& execute) {
+  ExecutorFixture fixture;
+  fixture.server.script = [&](const http::Request&, ScriptedServer::Connection& connection) { connection.reset(); };
+  (void)fixture.execute_and_wait(execute);
+  gate::ServerHeartbeat restarted_server = fixture.heartbeat(1);
+  restarted_server.id = "i-2";
+  restarted_server.started_at_ms = 2;
+  REQUIRE(fixture.executor.on_heartbeat(restarted_server));
+  REQUIRE(fixture.crashes.size() == 1);
+  return fixture.crashes.front().running.front();
+}
+
 }  // namespace
 
 TEST_CASE("a request reaches the server once, with headers for caller, target and remaining time") {
@@ -382,6 +395,73 @@
   CHECK(fixture.execute_and_wait(ExecutorFixture::request(2)).response.body == "other");
 }
 
+// Two seconds after its departure was acknowledged, the server got a request again whose response it had lost
+// (review/9).
+TEST_CASE("a request whose reused connection broke is not resent to a server that is leaving") {
+  for (const bool leaving : {true, false}) {
+    ExecutorFixture fixture;
+    ScriptedServer::Connection* open = nullptr;
+    fixture.server.script = [&](const http::Request& request, ScriptedServer::Connection& connection) {
+      if (http::find(request.headers, "Attempt") == "attempt-2" && open == nullptr) {
+        open = &connection;
+      } else {
+        connection.write(answer(request, "done"));
+      }
+    };
+    for (std::uint64_t i = 0; i < 20; ++i)
+      CHECK(fixture.execute_and_wait(ExecutorFixture::request(100 + i, true)).answered);
+    fixture.executor.execute(kSender, ExecutorFixture::request(2, true), fixture.reply());
+    REQUIRE(fixture.wait([&] { return open != nullptr; }));
+    fixture.send_heartbeat(2, leaving);
+    const std::size_t before = fixture.results.size();
+    open->reset();
+    REQUIRE(fixture.wait([&] { return fixture.results.size() > before; }));
+    CHECK(fixture.results.back().answered == !leaving);
+    CHECK(fixture.server.requests.size() == (leaving ? 21U : 22U));
+    if (leaving) CHECK(fixture.results.back().verdict.execution == core::Execution::kMayHaveRun);
+  }
+}
+
+// The resent request named the server of another service that had taken over the address, so that it would have run
+// there.
+TEST_CASE("a request whose reused connection broke is not resent to a server that must not get it") {
+  for (const bool quarantined : {true, false}) {
+    ExecutorFixture fixture;
+    ScriptedServer::Connection* open = nullptr;
+    fixture.server.script = [&](const http::Request& request, ScriptedServer::Connection& connection) {
+      if (http::find(request.headers, "Attempt") == "attempt-2") {
+        open = &connection;
+      } else {
+        connection.write(answer(request, "done"));
+      }
+    };
+    for (std::uint64_t i = 0; i < 20; ++i)
+      CHECK(fixture.execute_and_wait(ExecutorFixture::request(100 + i, true)).answered);
+    peer::Execute execute = ExecutorFixture::request(2, true);
+    execute.request.target = "/other";
+    const peer::Execute copy = execute;
+    fixture.executor.execute(kSender, std::move(execute), fixture.reply());
+    REQUIRE(fixture.wait([&] { return open != nullptr; }));
+    if (quarantined) {
+      for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+        (void)fixture.tally.add({crash, {fingerprint_of(copy)}}, now());
+      }
+    } else {
+      fixture.executor.set_local_server("t", {fixture.server.endpoint().host, fixture.server.endpoint().port});
+      gate::ServerHeartbeat other = fixture.heartbeat(1);
+      other.id = "i-2";
+      other.service = "t";
+      other.started_at_ms = 2;
+      REQUIRE(fixture.executor.on_heartbeat(other));
+    }
+    const std::size_t before = fixture.results.size();
+    open->reset();
+    REQUIRE(fixture.wait([&] { return fixture.results.size() > before; }));
+    CHECK(!fixture.results.back().answered);
+    CHECK(fixture.server.requests.size() == 21);
+  }
+}
+
 TEST_CASE("a leaving server gets no new requests, and running ones are completed") {
   ExecutorFixture fixture;
   ScriptedServer::Connection* waiting = nullptr;
