Log which daemons grant and admit a tenant's requests

Who granted a tenant more than its quota could not be told from the logs: quota_coordinator names the daemon that one daemon reports to, not what it granted.

Conclusion: the total of a tenant and its granters can be added up from the logs.

--- a/src/damaskthread/mesh/quota_service.cc
+++ b/src/damaskthread/mesh/quota_service.cc
@@ -3,8 +3,11 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <cstdint>
+#include <cstdio>
+#include <functional>
 #include <utility>
 
 namespace damaskthread::mesh {
@@ -29,12 +32,29 @@
 // A coordinator answers at once; this covers a busy one and the way between failure domains.
 constexpr core::Duration kAnswerTimeout = milliseconds{500};
 constexpr core::Duration kAvoidTime = seconds{10};
+constexpr core::Duration kUsageLogInterval = seconds{1};
+// Tenants in one line of the log, those with the most requests.
+constexpr std::size_t kMaxLoggedTenants = 100;
 
 std::uint64_t rank(const std::string& endpoint) {
   constexpr std::uint64_t kRankSeed = 0x71756f7461;  // Keeps ranks independent of other hashes of endpoints.
   return XXH3_64bits_withSeed(endpoint.data(), endpoint.size(), kRankSeed);
 }
 
+std::string describe(std::vector<quota::Usage> usage) {
+  std::ranges::sort(usage, std::ranges::greater(), &quota::Usage::count);
+  if (usage.size() > kMaxLoggedTenants) usage.resize(kMaxLoggedTenants);
+  std::string text;
+  for (const quota::Usage& tenant : usage) {
+    text.append(text.empty() ? "" : " ").append(tenant.tenant).append("=").append(std::to_string(tenant.count));
+    if (tenant.rate_per_second == 0) continue;
+    std::array<char, 64> quota{};
+    std::snprintf(quota.data(), quota.size(), "/%.6g+%.6g", tenant.rate_per_second, tenant.burst);
+    text.append(quota.data());
+  }
+  return text;
+}
+
 }  // namespace
 
 QuotaService::QuotaService(std::string self, EventLog& log, Hooks hooks)
@@ -137,8 +157,22 @@
   on_grant(self_, on_report(self_, report, now), now);
 }
 
+void QuotaService::log_usage() {
+  if (const std::string admitted = describe(ledger_.take_usage()); !admitted.empty()) {
+    log_.line(LogClass::kStateChange, "quota_admitted", {{"coordinator", selected_}, {"tenants", admitted}});
+  }
+  if (const std::string granted = describe(coordinator_.take_usage()); !granted.empty()) {
+    log_.line(LogClass::kStateChange, "quota_granted",
+              {{"share", coordinator_.reporting_share()}, {"tenants", granted}});
+  }
+}
+
 void QuotaService::tick(core::TimePoint now) {
   if (!ledger_.active()) return;
+  if (now >= usage_log_due_) {
+    usage_log_due_ = now + kUsageLogInterval;
+    log_usage();
+  }
   coordinator_.set_fleet({static_cast<std::uint32_t>(ranked_.size()), reachable_, hooks_.lease_held(now)}, now);
   check_completeness(now);
   if (awaiting_grant_ && now - awaited_since_ > kAnswerTimeout) {
--- a/src/damaskthread/mesh/quota_service.h
+++ b/src/damaskthread/mesh/quota_service.h
@@ -69,6 +69,8 @@
   /// Selects the candidates and notes which of them cannot be reached.
   void check_candidates(core::TimePoint now);
   void check_completeness(core::TimePoint now);
+  /// Logs who granted and who admitted how much, so that the total of a tenant can be added up over all daemons.
+  void log_usage();
 
   std::string self_;
   EventLog& log_;
@@ -86,6 +88,7 @@
   std::string selected_;
   /// Time since which this daemon has been a coordinator to which not all listed daemons report.
   std::optional<core::TimePoint> incomplete_since_;
+  core::TimePoint usage_log_due_;
   bool awaiting_grant_ = false;
   core::TimePoint awaited_since_;
   /// Daemons that did not answer in time, and until when they are not asked.
--- a/src/damaskthread/quota/coordinator.cc
+++ b/src/damaskthread/quota/coordinator.cc
@@ -85,6 +85,7 @@
   const double rate = controlled_rate(bucket);
   const double accrued = rate * to_seconds(now - bucket.updated) + std::max(0, demand.returned);
   bucket.updated = now;
+  bucket.granted_count -= std::max(0, demand.returned);
   bucket.credits = std::min(capacity(bucket), bucket.credits + accrued);
   if (demand.wanted <= 0 && demand.spare <= 0) return credit;
   // Of scarce credits each report gets at most half, so that all daemons get some.
@@ -95,6 +96,7 @@
   const int spare = std::clamp(demand.spare, 0, static_cast<int>(plenty));
   credit.credits += spare;
   bucket.credits -= spare;
+  bucket.granted_count += credit.credits;
   const double missing = demand.wanted - credit.credits - bucket.credits;
   credit.exhausted = missing > rate * to_seconds(options_.patience);
   return credit;
@@ -139,4 +141,13 @@
   return answer;
 }
 
+std::vector<Usage> Coordinator::take_usage() {
+  std::vector<Usage> usage;
+  for (auto& [name, bucket] : buckets_) {
+    const int count = std::exchange(bucket.granted_count, 0);
+    if (count != 0) usage.push_back({name, count, bucket.rate_per_second, bucket.burst});
+  }
+  return usage;
+}
+
 }  // namespace damaskthread::quota
--- a/src/damaskthread/quota/coordinator.h
+++ b/src/damaskthread/quota/coordinator.h
@@ -75,6 +75,8 @@
   /// @return The credits that it may use.
   [[nodiscard]] Grant on_report(const std::string& member, const Report& report, core::TimePoint now);
 
+  /// @brief Returns the credits granted for each tenant since the last call, less returned ones.
+  [[nodiscard]] std::vector<Usage> take_usage();
   /// @return Share of the known daemons that report to this coordinator.
   [[nodiscard]] double reporting_share() const noexcept { return reporting_share_; }
   /// @return Whether at least half of the known daemons report to this coordinator.
@@ -88,6 +90,8 @@
     double burst = 0;
     double credits = 0;
     core::TimePoint updated;
+    /// Since the last `take_usage`.
+    int granted_count = 0;
     /// Rates reserved for members that report, and for those that fell silent.
     double reserved_reporting = 0;
     double reserved_silent = 0;
--- a/src/damaskthread/quota/credit.h
+++ b/src/damaskthread/quota/credit.h
@@ -38,6 +38,15 @@
   bool exhausted = false;
 };
 
+/// Requests admitted, or credits granted, within some time.
+struct Usage {
+  std::string tenant;
+  int count = 0;
+  /// The quota; zero if the reporter does not know it.
+  double rate_per_second = 0;
+  double burst = 0;
+};
+
 /// The answer to a report.
 struct Grant {
   std::uint64_t sequence = 0;
--- a/src/damaskthread/quota/fwd.h
+++ b/src/damaskthread/quota/fwd.h
@@ -7,6 +7,7 @@
 struct Report;
 struct Credit;
 struct Grant;
+struct Usage;
 struct QuotaState;
 struct FleetView;
 struct LeaseOptions;
--- a/src/damaskthread/quota/ledger.cc
+++ b/src/damaskthread/quota/ledger.cc
@@ -85,6 +85,7 @@
   expire(account, now);
   if (decide(account, now) != Admission::kAdmit) return false;
   --account.credits;
+  ++account.admitted_count;
   account.admitted.add(now, options_.time_constant);
   return true;
 }
@@ -123,6 +124,7 @@
   expire(*account, now);
   if (account->credits == 0) account->expires_at = now + options_.credit_lifetime;
   ++account->credits;
+  --account->admitted_count;
 }
 
 bool Ledger::report_due(core::TimePoint now) const noexcept {
@@ -175,4 +177,12 @@
   }
 }
 
+std::vector<Usage> Ledger::take_usage() {
+  std::vector<Usage> usage;
+  for (auto& [name, account] : accounts_) {
+    if (const int count = std::exchange(account.admitted_count, 0); count != 0) usage.push_back({name, count, 0, 0});
+  }
+  return usage;
+}
+
 }  // namespace damaskthread::quota
--- a/src/damaskthread/quota/ledger.h
+++ b/src/damaskthread/quota/ledger.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "damaskthread/core/types.h"
 #include "damaskthread/quota/credit.h"
@@ -98,6 +99,9 @@
   [[nodiscard]] Report report(std::uint32_t fleet_size, core::TimePoint now);
   /// @brief Adds granted credits.
   void on_grant(const Grant& grant, core::TimePoint now);
+  /// @brief Returns how many requests of each tenant were admitted since the last call, less refunded ones. Tenants
+  /// without any are left out.
+  [[nodiscard]] std::vector<Usage> take_usage();
 
  private:
   // Exponentially weighted moving average of events per second.
@@ -117,6 +121,8 @@
     core::TimePoint next_request;
     Rate arrivals;
     Rate admitted;
+    /// Since the last `take_usage`.
+    int admitted_count = 0;
     /// Average of admitted requests while the coordinator of a majority granted the credits.
     double reserved_per_second = 0;
   };
--- a/test/damaskthread/quota/quota_test.cc
+++ b/test/damaskthread/quota/quota_test.cc
@@ -269,6 +269,35 @@
   CHECK(ledger.retry("t", now) == Admission::kAdmit);
 }
 
+// Without these counts it cannot be told from the logs which daemons granted or admitted too much.
+TEST_CASE("ledger and coordinator count what they admitted and granted") {
+  const tenant::Tenant tenant{"t", std::nullopt, 10, 20};
+  const core::TimePoint now{seconds(100)};
+  Ledger ledger;
+  ledger.set_tenants({&tenant, 1});
+  ledger.on_grant({1, true, {{"t", 2, false}}}, now);
+  CHECK(ledger.arrive("t", now) == Admission::kAdmit);
+  CHECK(ledger.arrive("t", now) == Admission::kAdmit);
+  ledger.refund("t", now);
+  const std::vector<Usage> admitted = ledger.take_usage();
+  REQUIRE(admitted.size() == 1);
+  CHECK(admitted.front().tenant == "t");
+  CHECK(admitted.front().count == 1);
+  CHECK(ledger.take_usage().empty());
+
+  Coordinator coordinator;
+  coordinator.set_tenants({&tenant, 1}, now);
+  (void)coordinator.on_report("a", {1, 1, {}}, now);
+  const Grant grant = coordinator.on_report("a", {2, 1, {{"t", 3, 0, 0, 0}}}, now + milliseconds(500));
+  REQUIRE(grant.credits.size() == 1);
+  (void)coordinator.on_report("a", {3, 1, {{"t", 0, 0, 1, 0}}}, now + milliseconds(600));
+  const std::vector<Usage> granted = coordinator.take_usage();
+  REQUIRE(granted.size() == 1);
+  CHECK(granted.front().count == grant.credits.front().credits - 1);
+  CHECK(granted.front().rate_per_second == 10);
+  CHECK(granted.front().burst == 20);
+}
+
 TEST_CASE("credits that were not used in time are returned") {
   const tenant::Tenant tenant{"t", std::nullopt, 10, 10};
   Ledger ledger;
