Count credits that lie at daemons as part of a tenant's burst

Cause: daemons keep credits for expected requests while the bucket of the coordinator fills up to the whole burst again. So a tenant had its burst and up to two credits at each of 84 daemons.

Change: reports tell which credits the sender holds; bucket and daemons together hold the burst and eight credits at most. Reports of earlier versions count as holding none.

Conclusion: works because all credits that a tenant can use at once are in one sum.

--- a/src/damaskthread/peer/frame.cc
+++ b/src/damaskthread/peer/frame.cc
@@ -132,7 +132,7 @@
     Json demands = Json::array();
     for (const quota::Demand& demand : message.report.demands) {
       demands.push_back(Json::array({demand.tenant, demand.wanted, demand.spare, demand.returned,
-                                     std::lround(kReservedScale * demand.reserved_per_second)}));
+                                     std::lround(kReservedScale * demand.reserved_per_second), demand.held}));
     }
     return Json::array({10, message.report.sequence, message.report.fleet_size, std::move(demands)});
   }
@@ -239,8 +239,10 @@
   message.report.sequence = fields.at(1).get<std::uint64_t>();
   message.report.fleet_size = fields.at(2).get<std::uint32_t>();
   for (const Json& demand : fields.at(3)) {
+    // Daemons of earlier versions don't tell which credits they hold.
+    const int held = demand.size() > 5 ? demand.at(5).get<int>() : 0;
     message.report.demands.push_back({demand.at(0).get<std::string>(), demand.at(1).get<int>(), demand.at(2).get<int>(),
-                                      demand.at(3).get<int>(), demand.at(4).get<double>() / kReservedScale});
+                                      demand.at(3).get<int>(), held, demand.at(4).get<double>() / kReservedScale});
   }
   return message;
 }
--- a/src/damaskthread/quota/coordinator.h
+++ b/src/damaskthread/quota/coordinator.h
@@ -32,10 +32,14 @@
   double reserved_part = 0.9;
   /// Credits of a tenant at the start of the whole quota, so that small tenants need not wait for the first ones.
   double initial_credits = 10;
-  /// Credits accrue for at least this time even if the tenant has no burst, since daemons report at intervals.
-  core::Duration min_accrual = std::chrono::milliseconds{200};
+  /// Credits accrue for at least this time even if the tenant has no burst: as long as credits may lie at a daemon
+  /// before their use is reported.
+  core::Duration min_accrual = std::chrono::milliseconds{400};
   /// A tenant counts as being at its limit if the wanted credits do not accrue within this time.
   core::Duration patience = std::chrono::milliseconds{200};
+  /// Credits of a tenant beyond its burst that may lie at daemons, so that small tenants whose requests arrive at many
+  /// daemons are not refused. Part of the excess that operators tolerate.
+  double spread_credits = 8;
   /// How often the members and their reservations are added up, which takes time in proportion to the fleet.
   core::Duration sum_interval = std::chrono::milliseconds{50};
 };
@@ -89,6 +93,8 @@
     double rate_per_second = 0;
     double burst = 0;
     double credits = 0;
+    /// Credits that lie at the daemons.
+    int held = 0;
     core::TimePoint updated;
     /// Since the last `take_usage`.
     int granted_count = 0;
@@ -96,19 +102,30 @@
     double reserved_reporting = 0;
     double reserved_silent = 0;
   };
+  struct MemberShare {
+    double reserved_per_second = 0;
+    /// Credits that the member has, by its last report and the answer to it.
+    int held = 0;
+  };
   struct Member {
     core::TimePoint last_report;
     std::uint32_t fleet_size = 1;
-    std::unordered_map<std::string, double> reserved_per_second;
+    std::unordered_map<std::string, MemberShare> shares;
   };
 
+  /// Largest number of credits in the bucket and at the daemons together. A tenant that begins to send more uses them
+  /// all, wherever they are.
   [[nodiscard]] double capacity(const Bucket& bucket) const noexcept;
+  /// Largest number of credits in the bucket.
+  [[nodiscard]] double room(const Bucket& bucket) const noexcept;
   /// Requests per second that this coordinator may grant.
   [[nodiscard]] double controlled_rate(const Bucket& bucket) const noexcept;
   /// Adds up the members and what they have reserved of each tenant.
   void sum_members(core::TimePoint now);
-  [[nodiscard]] Credit grant(const Demand& demand, core::TimePoint now);
-  void record_report(const std::string& member, const Report& report, core::TimePoint now);
+  [[nodiscard]] Credit grant(const Demand& demand, MemberShare& share, core::TimePoint now);
+  /// Removes the credits of a member from the sums.
+  void release_held(Member& member);
+  Member& record_report(const std::string& member, const Report& report, core::TimePoint now);
   void restart(core::TimePoint now);
   /// Whether listed daemons that are neither reporting nor known to be alive count as gone.
   [[nodiscard]] bool may_discount(core::TimePoint now) const noexcept;
--- a/src/damaskthread/quota/credit.h
+++ b/src/damaskthread/quota/credit.h
@@ -18,6 +18,8 @@
   int spare = 0;
   /// Earlier credits that were not used and have expired.
   int returned = 0;
+  /// Credits that the sender still has.
+  int held = 0;
   /// Requests per second that the sender may admit if it loses all coordinators; the others leave them to it.
   double reserved_per_second = 0;
 };
--- a/src/damaskthread/quota/ledger.cc
+++ b/src/damaskthread/quota/ledger.cc
@@ -157,8 +157,8 @@
     if (account.waiting > 0) shortage_report_ = now + options_.repeat_interval;
     // Smaller reservations are dropped, since an average never decays to zero.
     const double reserved = account.reserved_per_second > kMinReserved ? account.reserved_per_second : 0;
-    if (wanted == 0 && spare == 0 && returned == 0 && reserved == 0) continue;
-    report.demands.push_back({name, wanted, spare, returned, reserved});
+    if (wanted == 0 && spare == 0 && returned == 0 && account.credits == 0 && reserved == 0) continue;
+    report.demands.push_back({name, wanted, spare, returned, account.credits, reserved});
   }
   return report;
 }
--- a/test/damaskthread/peer/frame_test.cc
+++ b/test/damaskthread/peer/frame_test.cc
@@ -220,13 +220,14 @@
 }
 
 TEST_CASE("reports and grants of the quotas keep their fields") {
-  const quota::Report report = round_trip(QuotaReport{{7, 84, {{"tenant", 5, 1, 2, 12.25}}}}).report;
+  const quota::Report report = round_trip(QuotaReport{{7, 84, {{"tenant", 5, 1, 2, 3, 12.25}}}}).report;
   CHECK(report.sequence == 7);
   CHECK(report.fleet_size == 84);
   REQUIRE(report.demands.size() == 1);
   CHECK(report.demands.front().tenant == "tenant");
   CHECK(report.demands.front().wanted == 5);
   CHECK(report.demands.front().spare == 1);
+  CHECK(report.demands.front().held == 3);
   CHECK(report.demands.front().returned == 2);
   CHECK(report.demands.front().reserved_per_second == doctest::Approx(12.25));
   const quota::Grant grant = round_trip(QuotaGrant{{7, true, {{"tenant", 3, true}}}}).grant;
--- a/test/damaskthread/quota/quota_test.cc
+++ b/test/damaskthread/quota/quota_test.cc
@@ -49,7 +49,15 @@
   }
   // Separates the daemons from this index on from the others.
   void partition(std::size_t first) { partition_ = first; }
-  void heal() { partition_ = nodes_.size(); }
+  // Separates each daemon from this index on from all others.
+  void isolate(std::size_t first) {
+    partition_ = first;
+    isolated_ = true;
+  }
+  void heal() {
+    partition_ = nodes_.size();
+    isolated_ = false;
+  }
   void restart(std::size_t index) {
     nodes_[index] = Node();
     configure(nodes_[index]);
@@ -109,7 +117,7 @@
       }
       if (node.ledger.report_due(now_)) {
         ++reports_;
-        const std::size_t coordinator = i < partition_ ? 0 : partition_;
+        const std::size_t coordinator = i < partition_ ? 0 : isolated_ ? i : partition_;
         const Report report = node.ledger.report(static_cast<std::uint32_t>(nodes_.size()), now_);
         node.ledger.on_grant(nodes_[coordinator].coordinator.on_report(std::to_string(i), report, now_), now_ + kStep);
       }
@@ -134,6 +142,7 @@
   std::vector<Node> nodes_;
   std::vector<double> rates_;
   std::size_t partition_ = 1'000'000;
+  bool isolated_ = false;
   core::TimePoint now_{seconds(100)};
   std::deque<core::TimePoint> admissions_;
   int admitted_ = 0;
@@ -173,6 +182,24 @@
   CHECK(fleet.rejected() > 10'000);
 }
 
+// Credits that daemons keep for expected requests were filled up in the bucket meanwhile, so that a tenant whose
+// requests arrive at many daemons had them on top of its burst.
+TEST_CASE("credits that lie at the daemons are part of the burst") {
+  for (const double rate : {5.0, 20.0, 62.0, 160.0, 960.0}) {
+    for (const double burst : {rate, 0.0}) {
+      for (const std::size_t daemons : {std::size_t{20}, std::size_t{84}}) {
+        QuotaFleet fleet(daemons, rate, burst);
+        fleet.set_load(0, daemons, rate / 1.6);
+        fleet.run(seconds(10));
+        CHECK(fleet.rejected() == 0);
+        fleet.set_load(0, daemons, 7.5 * rate / 1.6);
+        fleet.run(seconds(7));
+        CHECK_MESSAGE(fleet.worst_window() <= 1, rate, " ", burst, " ", daemons);
+      }
+    }
+  }
+}
+
 // Requests that waited for nothing made every daemon report every few milliseconds, which overloaded the coordinator.
 TEST_CASE("a tenant at its limit causes few reports") {
   QuotaFleet fleet(20, 16, 16);
@@ -288,9 +315,9 @@
   Coordinator coordinator;
   coordinator.set_tenants({&tenant, 1}, now);
   (void)coordinator.on_report("a", {1, 1, {}}, now);
-  const Grant grant = coordinator.on_report("a", {2, 1, {{"t", 3, 0, 0, 0}}}, now + milliseconds(500));
+  const Grant grant = coordinator.on_report("a", {2, 1, {{"t", 3, 0, 0, 0, 0}}}, now + milliseconds(500));
   REQUIRE(grant.credits.size() == 1);
-  (void)coordinator.on_report("a", {3, 1, {{"t", 0, 0, 1, 0}}}, now + milliseconds(600));
+  (void)coordinator.on_report("a", {3, 1, {{"t", 0, 0, 1, 0, 0}}}, now + milliseconds(600));
   const std::vector<Usage> granted = coordinator.take_usage();
   REQUIRE(granted.size() == 1);
   CHECK(granted.front().count == grant.credits.front().credits - 1);
