Bound what isolated daemons save up of a tenant's quota

Callers: while many daemons are cut off from each other, a tenant that begins to send more gets up to 1.9 times its bound.

A daemon that is alone is its own coordinator; 29 of 84 such daemons saved up 5.8 s of the quota within a cut of 12 s.

Change: the bucket holds what accrues at the rate that the coordinator controls, one credit at least.

Conclusion: the sum of all buckets is bounded however many coordinators act; a daemon that is alone cannot admit two requests in a row of a tenant whose quota is below 84 a second.

--- a/src/damaskthread/quota/coordinator.cc
+++ b/src/damaskthread/quota/coordinator.cc
@@ -18,7 +18,8 @@
 
 double Coordinator::capacity(const Bucket& bucket) const noexcept {
   // Both sides of a partition together accrue one burst.
-  const double least = bucket.rate_per_second * to_seconds(options_.min_accrual);
+  // Of the controlled rate: many coordinators may act at the same time, each with a bucket of its own.
+  const double least = controlled_rate(bucket) * to_seconds(options_.min_accrual);
   return std::max(1.0, std::max(reporting_share_ * bucket.burst, least) + reporting_share_ * options_.spread_credits);
 }
 
--- a/test/damaskthread/quota/quota_test.cc
+++ b/test/damaskthread/quota/quota_test.cc
@@ -240,6 +240,24 @@
   CHECK(fleet.worst_window() <= 1);
 }
 
+// Each daemon that was cut off saved up credits of 200 ms of the whole quota.
+TEST_CASE("many daemons that are cut off from each other do not raise the quota") {
+  for (const double rate : {5.0, 20.0, 62.0, 160.0, 960.0}) {
+    for (const double burst : {rate, 0.0}) {
+      QuotaFleet fleet(84, rate, burst);
+      fleet.set_load(0, 84, rate / 1.6);
+      fleet.run(seconds(10));
+      fleet.isolate(55);
+      fleet.run(seconds(12));
+      fleet.set_load(0, 84, 7.5 * rate / 1.6);
+      fleet.run(seconds(7));
+      fleet.heal();
+      fleet.run(seconds(4));
+      CHECK_MESSAGE(fleet.worst_window() <= 1, rate, " ", burst);
+    }
+  }
+}
+
 TEST_CASE("a daemon that is cut off goes on at its recent rate") {
   QuotaFleet fleet(20, 16, 16);
   fleet.set_load(19, 20, 8);
