Grant no credits before the list of daemons has been read

Callers: after a restart of many daemons a tenant that sends many times its usual gets more than its limit.

Cause: a daemon that has started knows only itself. If the configuration arrives before the list of daemons it was its own coordinator, took itself for the whole fleet and granted the whole quota.

Change: the size of the fleet is unknown until the list has been read; a coordinator that gets no report with a known size grants nothing.

Conclusion: works because a share of an unknown whole is not taken for the whole.

--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -249,6 +249,7 @@
   }
 
   void on_members(const std::vector<KeyedRecord>& records) {
+    members_read = true;
     bool self_listed = false;
     for (const KeyedRecord& record : records) {
       const auto entry = parse_member_entry(record.value);
@@ -582,7 +583,7 @@
     if (time - last_plan_time >= (fleet_changed ? kLinkReplanInterval : kLinkPlanInterval)) {
       last_plan_time = time;
       planned_fleet_size = fleet.size();
-      quota.set_members(fleet.endpoints(), time);
+      quota.set_members(fleet.endpoints(), members_read, time);
       fleet.plan(ingress.interests(time), quota.coordinator_candidates(), time);
       update_watch(time);
     }
@@ -667,6 +668,8 @@
   core::TimePoint settings_due;
   core::TimePoint load_log_due;
   core::TimePoint last_plan_time;
+  /// The member list has been read at least once.
+  bool members_read = false;
   /// Fleet size at the last link plan.
   std::size_t planned_fleet_size = 0;
   ShutdownOutcome outcome = ShutdownOutcome::kDrained;
--- a/src/damaskthread/mesh/quota_service.cc
+++ b/src/damaskthread/mesh/quota_service.cc
@@ -65,7 +65,12 @@
   coordinator_.set_tenants(tenants.tenants(), now);
 }
 
-void QuotaService::set_members(const std::vector<std::string>& endpoints, core::TimePoint now) {
+std::uint32_t QuotaService::listed_count() const noexcept {
+  return listed_ ? static_cast<std::uint32_t>(ranked_.size()) : 0;
+}
+
+void QuotaService::set_members(const std::vector<std::string>& endpoints, bool listed, core::TimePoint now) {
+  listed_ = listed;
   rank_members(endpoints);
   check_candidates(now);
   reachable_ = static_cast<std::uint32_t>(hooks_.reachable_count()) + 1;
@@ -143,7 +148,7 @@
 }
 
 void QuotaService::send_report(core::TimePoint now) {
-  const quota::Report report = ledger_.report(static_cast<std::uint32_t>(ranked_.size()), now);
+  const quota::Report report = ledger_.report(listed_count(), now);
   for (const std::string& candidate : coordinator_candidates()) {
     if (candidate == self_) break;
     const auto avoided = avoided_until_.find(candidate);
@@ -173,7 +178,7 @@
     usage_log_due_ = now + kUsageLogInterval;
     log_usage();
   }
-  coordinator_.set_fleet({static_cast<std::uint32_t>(ranked_.size()), reachable_, hooks_.lease_held(now)}, now);
+  coordinator_.set_fleet({listed_count(), reachable_, hooks_.lease_held(now)}, now);
   check_completeness(now);
   if (awaiting_grant_ && now - awaited_since_ > kAnswerTimeout) {
     awaiting_grant_ = false;
--- a/src/damaskthread/mesh/quota_service.h
+++ b/src/damaskthread/mesh/quota_service.h
@@ -44,7 +44,8 @@
   void set_tenants(const tenant::Directory& tenants, core::TimePoint now);
   /// @brief Sets the known daemons, this one excluded, and selects the candidates among them; to be called about twice
   /// a second.
-  void set_members(const std::vector<std::string>& endpoints, core::TimePoint now);
+  /// @param listed Whether the list on the store has been read, so that they are all listed ones.
+  void set_members(const std::vector<std::string>& endpoints, bool listed, core::TimePoint now);
   /// @brief Daemons that may become the coordinator, to which connections should be kept. Empty without quotas.
   [[nodiscard]] std::vector<std::string> coordinator_candidates() const;
   /// @return Whether this daemon is a coordinator to which some of the listed daemons have not reported for some time,
@@ -65,6 +66,8 @@
  private:
   void send_report(core::TimePoint now);
   void select_coordinator(const std::string& endpoint);
+  /// Number of listed daemons; zero if the list has not been read yet.
+  [[nodiscard]] std::uint32_t listed_count() const noexcept;
   void rank_members(const std::vector<std::string>& endpoints);
   /// Selects the candidates and notes which of them cannot be reached.
   void check_candidates(core::TimePoint now);
@@ -79,6 +82,7 @@
   quota::Coordinator coordinator_;
   /// All known daemons by descending rank, this one included.
   std::vector<std::string> ranked_;
+  bool listed_ = false;
   /// Daemons that are connected to because they may become the coordinator, by descending rank.
   std::vector<std::string> candidates_;
   /// Number of reachable daemons, this one included.
--- a/src/damaskthread/quota/coordinator.cc
+++ b/src/damaskthread/quota/coordinator.cc
@@ -63,7 +63,7 @@
                 [this, now](const auto& entry) { return now - entry.second.last_report > options_.silent_time; });
   for (auto& [tenant, bucket] : buckets_) bucket.reserved_reporting = bucket.reserved_silent = 0;
   reporting_ = 0;
-  listed_ = std::max<std::size_t>(members_.size(), fleet_.listed);
+  listed_ = fleet_.listed;
   for (auto& [endpoint, member] : members_) {
     const bool silent = now - member.last_report > options_.member_timeout;
     if (!silent) ++reporting_;
@@ -76,9 +76,10 @@
       (silent ? found->second.reserved_silent : found->second.reserved_reporting) += share.reserved_per_second;
     }
   }
+  if (listed_ > 0) listed_ = std::max(listed_, members_.size());
   const std::size_t known = may_discount(now) ? std::max<std::size_t>(members_.size(), fleet_.reachable) : listed_;
   const double previous_share =
-      std::exchange(reporting_share_, static_cast<double>(reporting_) / static_cast<double>(known));
+      std::exchange(reporting_share_, known == 0 ? 0 : static_cast<double>(reporting_) / static_cast<double>(known));
   if (previous_share >= kMajority || !has_majority() || known == 1) return;
   for (auto& [tenant, bucket] : buckets_) {
     bucket.credits = std::min(std::max(bucket.credits, options_.initial_credits), room(bucket));
--- a/src/damaskthread/quota/coordinator.h
+++ b/src/damaskthread/quota/coordinator.h
@@ -46,8 +46,8 @@
 
 /// What a daemon knows of the fleet beyond the reports that it gets.
 struct FleetView {
-  /// Number of listed daemons, this one included.
-  std::uint32_t listed = 1;
+  /// Number of listed daemons, this one included; zero until the list has been read.
+  std::uint32_t listed = 0;
   /// Number of daemons known to be alive, this one included, whomever they report to.
   std::uint32_t reachable = 1;
   /// No other daemon counts daemons as gone at the moment.
@@ -65,7 +65,8 @@
 ///
 /// A daemon that does not report may be gone, cut off, or report to another coordinator. Only an exclusive coordinator
 /// counts it as gone, and only if it is not known to be alive; any number of others may act at the same time, and each
-/// grants the share of the daemons that report to it.
+/// grants the share of the daemons that report to it. Until the list has been read, that share is not known and nothing
+/// is granted: after a restart of many daemons each of them knows itself only.
 class Coordinator {
  public:
   explicit Coordinator(const CoordinatorOptions& options = {}) noexcept : options_(options) {}
@@ -86,7 +87,7 @@
   /// @return Whether at least half of the known daemons report to this coordinator.
   [[nodiscard]] bool has_majority() const noexcept;
   /// @return Whether all listed daemons report to this coordinator, so that none has to be counted as gone.
-  [[nodiscard]] bool complete() const noexcept { return reporting_ >= listed_; }
+  [[nodiscard]] bool complete() const noexcept { return reporting_ >= listed_ && listed_ > 0; }
 
  private:
   struct Bucket {
@@ -109,7 +110,7 @@
   };
   struct Member {
     core::TimePoint last_report;
-    std::uint32_t fleet_size = 1;
+    std::uint32_t fleet_size = 0;
     std::unordered_map<std::string, MemberShare> shares;
   };
 
@@ -140,8 +141,8 @@
   /// Time since which this coordinator has been the exclusive one.
   core::TimePoint exclusive_since_;
   std::size_t reporting_ = 0;
-  /// Largest number of daemons that this daemon or one that reports knows.
-  std::size_t listed_ = 1;
+  /// Largest number of listed daemons that this daemon or one that reports knows of; zero if none has read the list.
+  std::size_t listed_ = 0;
   double reporting_share_ = 0;
 };
 
--- a/src/damaskthread/quota/credit.h
+++ b/src/damaskthread/quota/credit.h
@@ -27,8 +27,8 @@
 /// Sent by each daemon at least every `LedgerOptions::report_interval`, also without any demand.
 struct Report {
   std::uint64_t sequence = 0;
-  /// Number of daemons that the sender knows, itself included.
-  std::uint32_t fleet_size = 1;
+  /// Number of listed daemons, the sender included; zero if it has not read the list yet.
+  std::uint32_t fleet_size = 0;
   std::vector<Demand> demands;
 };
 
--- a/src/damaskthread/quota/ledger.h
+++ b/src/damaskthread/quota/ledger.h
@@ -95,7 +95,7 @@
   /// @return Whether a report should be sent now.
   [[nodiscard]] bool report_due(core::TimePoint now) const noexcept;
   /// @brief Creates a report for the coordinator.
-  /// @param fleet_size Number of known daemons, this one included.
+  /// @param fleet_size Number of listed daemons, this one included; zero if the list has not been read yet.
   [[nodiscard]] Report report(std::uint32_t fleet_size, core::TimePoint now);
   /// @brief Adds granted credits.
   void on_grant(const Grant& grant, core::TimePoint now);
--- a/test/damaskthread/mesh/quota_service_test.cc
+++ b/test/damaskthread/mesh/quota_service_test.cc
@@ -45,6 +45,12 @@
     daemons_.erase(endpoint);
     if (lease_holder_ == endpoint) lease_holder_.clear();
   }
+  // Restarts all daemons. None of them knows the others until the list on the store can be read again.
+  void restart_all() {
+    list_readable_ = false;
+    for (const std::string& endpoint : std::exchange(listed_, {})) add(endpoint);
+  }
+  void make_list_readable() { list_readable_ = true; }
   // Cuts the coordinator off from all others and from the store.
   void cut_coordinator() { cut_.insert(*coordinators().begin()); }
   void set_lease_available(bool available) { lease_available_ = available; }
@@ -79,6 +85,7 @@
  private:
   struct Daemon {
     std::unique_ptr<QuotaService> service;
+    bool list_read = false;
     double due = 0;
     std::vector<core::TimePoint> waiting;
   };
@@ -105,7 +112,7 @@
     };
     hooks.lease_held = [this, endpoint](core::TimePoint) { return lease_holder_ == endpoint; };
     hooks.granted = [] {};
-    Daemon& daemon = daemons_[endpoint];
+    Daemon& daemon = daemons_[endpoint] = Daemon();
     daemon.service = std::make_unique<QuotaService>(endpoint, log_, std::move(hooks));
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void> {
@@ -121,9 +128,10 @@
     if (members_due) next_members_ = now_ + kMembersInterval;
     for (auto& [endpoint, daemon] : daemons_) {
       if (members_due) {
-        std::vector<std::string> others = listed_;
+        daemon.list_read = daemon.list_read || list_readable_;
+        std::vector<std::string> others = daemon.list_read ? listed_ : std::vector<std::string>();
         std::erase(others, endpoint);
-        daemon.service->set_members(others, now_);
+        daemon.service->set_members(others, daemon.list_read, now_);
       }
       if (lease_available_ && lease_holder_.empty() && !cut_.contains(endpoint) && daemon.service->lease_wanted(now_)) {
         lease_holder_ = endpoint;
@@ -165,6 +173,7 @@
   std::set<std::string> cut_;
   std::string lease_holder_;
   bool lease_available_ = true;
+  bool list_readable_ = true;
   double load_ = 0;
   core::TimePoint now_{seconds(1000)};
   core::TimePoint next_members_ = now_;
@@ -221,6 +230,21 @@
   CHECK(static_cast<double>(services.worst_window()) <= kBound);
 }
 
+// A daemon that had just started and did not know the others yet granted the whole quota to itself.
+TEST_CASE("daemons that have not read the list of daemons grant nothing") {
+  Services services(20);
+  services.set_load(1.25);
+  services.run(seconds(10));
+  services.set_load(15);
+  services.run(milliseconds(500));
+  services.restart_all();
+  services.run(seconds(2));
+  services.make_list_readable();
+  services.run(seconds(10));
+  CHECK(static_cast<double>(services.worst_window()) <= kBound);
+  CHECK(services.admitted_per_second(seconds(10)) > 0.95 * kRate);
+}
+
 // Customers that stay below their limit must not pay for daemons that are gone.
 TEST_CASE("the whole quota is granted although most daemons are gone") {
   Services services(20, 20);
