Grant fewer credits at each change of coordinators

Callers: a small tenant that sends many times its usual gets more than its limit while coordinators are lost one after the other.

Cause: each new coordinator starts a tenant's bucket with 10 credits, whatever the former one granted a moment ago. Five losses in a window of 5 s are 50 requests, of which operators tolerate 20 and a tenth.

Change: four credits.

Conclusion: works because what a change of coordinators adds no longer exceeds what operators tolerate.

--- a/src/damaskthread/quota/coordinator.h
+++ b/src/damaskthread/quota/coordinator.h
@@ -31,7 +31,7 @@
   /// contain a burst, so that their sum can exceed the quota a little.
   double reserved_part = 0.9;
   /// Credits of a tenant at the start of the whole quota, so that small tenants need not wait for the first ones.
-  double initial_credits = 10;
+  double initial_credits = 4;
   /// Credits accrue for at least this time even if the tenant has no burst: as long as credits may lie at a daemon
   /// before their use is reported.
   core::Duration min_accrual = std::chrono::milliseconds{400};
--- a/test/damaskthread/quota/quota_test.cc
+++ b/test/damaskthread/quota/quota_test.cc
@@ -58,6 +58,8 @@
     partition_ = nodes_.size();
     isolated_ = false;
   }
+  // All daemons that are not partitioned report to this one from now on.
+  void set_coordinator(std::size_t index) { coordinator_ = index; }
   void restart(std::size_t index) {
     nodes_[index] = Node();
     configure(nodes_[index]);
@@ -117,7 +119,7 @@
       }
       if (node.ledger.report_due(now_)) {
         ++reports_;
-        const std::size_t coordinator = i < partition_ ? 0 : isolated_ ? i : partition_;
+        const std::size_t coordinator = i < partition_ ? coordinator_ : isolated_ ? i : partition_;
         const Report report = node.ledger.report(static_cast<std::uint32_t>(nodes_.size()), now_);
         node.ledger.on_grant(nodes_[coordinator].coordinator.on_report(std::to_string(i), report, now_), now_ + kStep);
       }
@@ -142,6 +144,7 @@
   std::vector<Node> nodes_;
   std::vector<double> rates_;
   std::size_t partition_ = 1'000'000;
+  std::size_t coordinator_ = 0;
   bool isolated_ = false;
   core::TimePoint now_{seconds(100)};
   std::deque<core::TimePoint> admissions_;
@@ -200,6 +203,23 @@
   }
 }
 
+// Each new coordinator starts with some credits, which a small tenant gets on top of its quota.
+TEST_CASE("coordinators that are lost one after the other do not raise the quota") {
+  for (const double rate : {5.0, 10.0, 20.0, 62.0}) {
+    for (const std::size_t daemons : {std::size_t{20}, std::size_t{84}}) {
+      QuotaFleet fleet(daemons, rate, rate);
+      fleet.set_load(0, daemons, rate / 1.6);
+      fleet.run(seconds(10));
+      fleet.set_load(0, daemons, 7.5 * rate / 1.6);
+      for (std::size_t coordinator = 1; coordinator < 9; ++coordinator) {
+        fleet.set_coordinator(coordinator);
+        fleet.run(seconds(1));
+      }
+      CHECK_MESSAGE(fleet.worst_window() <= 1, rate, " ", daemons);
+    }
+  }
+}
+
 // Requests that waited for nothing made every daemon report every few milliseconds, which overloaded the coordinator.
 TEST_CASE("a tenant at its limit causes few reports") {
   QuotaFleet fleet(20, 16, 16);
