Refuse requests that might outlast a stopping daemon

Callers: in a planned stop without other trouble, requests that arrive late are passed on and get no answer when the daemon ends, among them such that must not run twice.

Cause: a stopping daemon accepted connections for 3.2 s after SIGTERM, and requests on open connections as long as it ran; at the grace time less 0.4 s it ended whatever was in progress.

Change: requests complete later than 2.8 s are refused as not run unless their deadline or timeout is before the end, nested calls from 1.6 s before the end. Requests in progress at the end are answered. While draining, a waiting pipelined request is refused instead of dropped.

Measured: "a stopping daemon refuses requests that might outlast it and answers all others" failed before (uploads finished at 3.6 and 4.5 s ran and got no answer, neither did one in progress at the end) and passes. The same for "while draining a waiting request is refused ...".

Conclusion: works because nothing is started that the daemon cannot answer for.

--- a/src/damaskthread/mesh/daemon.cc
+++ b/src/damaskthread/mesh/daemon.cc
@@ -69,8 +69,14 @@
 constexpr core::Duration kReadinessPropagation = milliseconds{2300};
 // Upper bound on how long a stopping daemon accepts new requests.
 constexpr core::Duration kMaxStopAcceptTime = milliseconds{3200};
-// Remaining part of the grace period at which requests still in progress are abandoned.
+// A stopping daemon passes on later requests only if their deadline is before its end.
+constexpr core::Duration kMaxStopRequestTime = milliseconds{2800};
+// Time before the end from which it also refuses nested calls that may take longer.
+constexpr core::Duration kNestedCallTime = milliseconds{1600};
+// Remaining part of the grace period at which requests still in progress are ended.
 constexpr core::Duration kGraceMargin = milliseconds{400};
+// Remaining part of the grace period until which their callers may read the responses.
+constexpr core::Duration kResponseGraceMargin = milliseconds{200};
 // Below this fleet size the member list is read again after the own entry was written.
 constexpr std::size_t kSmallFleetSize = 8;
 constexpr double kMegabyte = 1U << 20U;
@@ -563,6 +569,10 @@
               {"runs", static_cast<std::int64_t>(gate.active())}});
     call_listener.drain();
     gate.stop_accepting();
+    const core::Duration time_left = std::max(core::Duration::zero(), settings.promises.grace - kGraceMargin);
+    const core::TimePoint end = stop_started_at + time_left;
+    const core::TimePoint last_request = stop_started_at + std::min(kMaxStopRequestTime, time_left / 2);
+    ingress.begin_shutdown({last_request, std::max(last_request, end - kNestedCallTime), end});
   }
 
   void schedule_tick() {
@@ -632,10 +642,16 @@
     if (elapsed > kMaxStopAcceptTime) call_listener.stop_accepting(time);
     const bool idle = ingress.active() == 0 && gate.active() == 0 && call_listener.busy_sessions() == 0 &&
                       peer_listener.unsent_bytes() == 0;
-    if (elapsed < settings.promises.grace - kGraceMargin && (elapsed < kReadinessPropagation || !idle)) return;
-    outcome = idle ? ShutdownOutcome::kDrained : ShutdownOutcome::kGraceExpired;
-    log.line(LogClass::kStateChange, "stopped",
-             {{"finished", idle}, {"requests", static_cast<std::int64_t>(ingress.active())}});
+    if (!requests_ended) {
+      const bool grace_expired = elapsed >= settings.promises.grace - kGraceMargin;
+      if (!grace_expired && (elapsed < kReadinessPropagation || !idle)) return;
+      requests_ended = true;
+      outcome = idle ? ShutdownOutcome::kDrained : ShutdownOutcome::kGraceExpired;
+      log.line(LogClass::kStateChange, "stopped",
+               {{"finished", idle}, {"requests", static_cast<std::int64_t>(ingress.active())}});
+      ingress.end_requests();
+    }
+    if (call_listener.busy_sessions() > 0 && elapsed < settings.promises.grace - kResponseGraceMargin) return;
     io.stop();
   }
 
@@ -656,6 +672,8 @@
   core::Duration store_read_backoff{0};
   bool stopping = false;
   core::TimePoint stop_started_at;
+  /// The requests that were in progress at the end of the grace period have been ended.
+  bool requests_ended = false;
   /// Outlives all holders of bodies, which release their memory there.
   CallerMemory caller_memory;
   core::TimePoint sweep_due;
--- a/src/damaskthread/mesh/http_listener.cc
+++ b/src/damaskthread/mesh/http_listener.cc
@@ -191,10 +191,16 @@
   const bool last = exchanges_.front().last;
   exchanges_.pop_front();
   last_activity_ = now();
-  const bool close = last || (listener_.draining_ && exchanges_.empty());
-  stream_->write(to_bytes(response, close));
+  const bool drained = listener_.draining_ && exchanges_.empty();
+  const bool close = last || drained;
+  const bool refuse_waiting = drained && !last && waiting_request_.has_value();
+  stream_->write(to_bytes(response, close && !refuse_waiting));
   if (!close) return true;
-  close_after_response();
+  if (refuse_waiting) {
+    reject(kUnavailable);
+  } else {
+    close_after_response();
+  }
   return false;
 }
 
@@ -207,7 +213,7 @@
 void Session::close_after_response() {
   closed_ = true;
   input_ended_ = true;
-  // The caller sends these again, since they were not answered.
+  // Callers send requests again that were not answered.
   waiting_request_.reset();
   reject_status_.reset();
   reader_.discard();
--- a/src/damaskthread/mesh/ingress.cc
+++ b/src/damaskthread/mesh/ingress.cc
@@ -159,9 +159,34 @@
     cancel_placements(*exchange);
     exchanges_.erase(exchange->number);
   });
+  if (arrived_too_late(*exchange, time)) return refuse(exchange, core::Cause::kLeaving);
   if (charge_quota(exchange, time)) enter(exchange, time);
 }
 
+bool Ingress::arrived_too_late(const Exchange& exchange, core::TimePoint now) const noexcept {
+  if (!shutdown_ || exchange.response_deadline + kResponseMargin < shutdown_->end) return false;
+  return now > (exchange.inner ? shutdown_->last_nested_call : shutdown_->last_request);
+}
+
+void Ingress::end_requests() {
+  std::vector<ExchangePointer> remaining;
+  for (const auto& [number, exchange] : exchanges_) remaining.push_back(exchange);
+  for (const ExchangePointer& exchange : remaining) {
+    if (exchange->caller->done()) continue;
+    if (std::exchange(exchange->credit_deadline, std::nullopt)) {
+      dependencies_.quota.ledger().abandon(exchange->tenant->name);
+    }
+    const bool may_run = exchange->placed || exchange->may_have_run;
+    if (exchange->failure) {
+      pass_on(exchange, *exchange->failure);
+    } else if (may_run) {
+      fail(exchange, kBadGateway, core::Cause::kLeaving);
+    } else {
+      refuse(exchange, core::Cause::kLeaving);
+    }
+  }
+}
+
 bool Ingress::charge_quota(const ExchangePointer& exchange, core::TimePoint now) {
   if (exchange->tenant == nullptr || exchange->inner || !exchange->tenant->has_quota()) return true;
   switch (dependencies_.quota.ledger().arrive(exchange->tenant->name, now)) {
--- a/src/damaskthread/mesh/ingress.h
+++ b/src/damaskthread/mesh/ingress.h
@@ -35,6 +35,16 @@
 
 namespace damaskthread::mesh {
 
+/// Schedule of the shutdown of a daemon.
+struct ShutdownTimes {
+  /// Requests that arrive later are refused unless their deadline is before `end`.
+  core::TimePoint last_request;
+  /// The same for nested calls, whose refusal fails a request that is running.
+  core::TimePoint last_nested_call;
+  /// When requests in progress are ended.
+  core::TimePoint end;
+};
+
 /// @brief Admits, places and retries requests. Each request ends with exactly one response, unless its caller
 /// disconnects first.
 class Ingress {
@@ -70,6 +80,11 @@
   /// @brief Updates the throttle, retries requests that wait for a server and ends those past their deadline.
   void tick(core::TimePoint now);
 
+  /// @brief Refuses from now on requests that might not be finished when the daemon ends.
+  void begin_shutdown(const ShutdownTimes& times) noexcept { shutdown_ = times; }
+  /// @brief Ends all requests in progress with a status that tells whether they may have run.
+  void end_requests();
+
   /// @brief Explains what would happen to a new external request, without sending it: no counter, random number,
   /// interest or credit is used. Errors are `core::Error` for a tenant that the configuration does not contain.
   [[nodiscard]] boost::leaf::result<Explanation> explain(const ExplainQuery& query, core::TimePoint now) const;
@@ -150,6 +165,8 @@
   /// Checks the key of a request, replaces it by its tenant's name and takes over the tenant's priority.
   /// @return Whether the request may enter.
   [[nodiscard]] bool authorize(Exchange& exchange);
+  /// @return Whether the daemon is stopping and might end before the request.
+  [[nodiscard]] bool arrived_too_late(const Exchange& exchange, core::TimePoint now) const noexcept;
   /// Charges the tenant's quota.
   /// @return Whether the request may continue; otherwise it was answered or waits for credit.
   [[nodiscard]] bool charge_quota(const ExchangePointer& exchange, core::TimePoint now);
@@ -203,6 +220,7 @@
   std::map<std::uint64_t, ExchangePointer> exchanges_;
   std::uint64_t next_number_ = 1;
   core::TimePoint last_observed_;
+  std::optional<ShutdownTimes> shutdown_;
 };
 
 }  // namespace damaskthread::mesh
--- a/test/damaskthread/mesh/http_listener_test.cc
+++ b/test/damaskthread/mesh/http_listener_test.cc
@@ -192,6 +192,23 @@
   CHECK(memory.reading() == 0);
 }
 
+// The caller could not know whether the request behind the last response had run.
+TEST_CASE("while draining a waiting request is refused when the response in front of it closes the connection") {
+  HttpListenerFixture fixture;
+  fixture.answer_immediately = false;
+  fixture.send(
+      "POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx"
+      "POST /2 HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx");
+  REQUIRE(fixture.wait([&] { return fixture.requests.size() == 1; }));
+  fixture.listener.drain();
+  fixture.requests[0]->answer({200, {}, {}});
+  REQUIRE(fixture.wait([&] { return fixture.closed; }));
+  CHECK(fixture.requests.size() == 1);
+  CHECK(fixture.received.find(" 503 ") > fixture.received.find(" 200 "));
+  CHECK(fixture.received.find(" 503 ") != std::string::npos);
+  CHECK(fixture.received.find("Connection: close") > fixture.received.find(" 503 "));
+}
+
 // While reading is paused, only a failed write shows that the caller is gone. The session and the memory of its
 // requests were kept for good.
 TEST_CASE("a connection that is reset while reading is paused is removed with its waiting requests") {
--- a/test/meshfleet/fleet_test.cc
+++ b/test/meshfleet/fleet_test.cc
@@ -3,8 +3,14 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <chrono>
 #include <csignal>
+#include <cstdint>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -40,10 +46,28 @@
   return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
 }
 
+// Sends the last byte of a request at the given time, and no byte much later than the one before.
+// @return What arrives until the connection ends.
+std::string upload_slowly(std::uint16_t port, const std::string& head, const std::string& body, Clock::time_point end) {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket(io);
+  boost::system::error_code error;
+  socket.connect({boost::asio::ip::make_address("127.0.0.1"), port}, error);
+  boost::asio::write(socket, boost::asio::buffer(head), error);
+  for (std::size_t i = 0; i < body.size(); ++i) {
+    std::this_thread::sleep_until(end - seconds(1) * (body.size() - 1 - i));
+    boost::asio::write(socket, boost::asio::buffer(&body[i], 1), error);
+  }
+  std::string received;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
+  return received;
+}
+
 // A separate fleet for each test, with requests sent one at a time.
 struct ProcessFleetFixture {
-  explicit ProcessFleetFixture(std::vector<ServiceSpec> services, const std::string& name)
-      : fleet(std::move(services), support::program_path("meshfleet-logs/" + name)) {
+  explicit ProcessFleetFixture(std::vector<ServiceSpec> services, const std::string& name,
+                               const FleetLimits& limits = {})
+      : fleet(std::move(services), support::program_path("meshfleet-logs/" + name), limits) {
     REQUIRE(fleet.start());
     for (const auto& vm : fleet.vms()) REQUIRE(served_within(kTestTimeout, *vm, vm->service + ".example"));
   }
@@ -524,6 +548,61 @@
   CHECK(stopping.daemon->wait(seconds(6)) == 0);
 }
 
+// Requests that arrived late were passed on and cut off when the daemon ended, also those that must not run twice.
+TEST_CASE("a stopping daemon refuses requests that might outlast it and answers all others") {
+  FleetLimits limits;
+  limits.timeout = seconds(8);
+  ProcessFleetFixture fixture({{"lookup", false, 2, ""}}, "late-stop", limits);
+  fixture.fleet.on_loop([&] {
+    for (const auto& vm : fixture.fleet.vms()) vm->server->set_run_time(seconds(4));
+  });
+  struct Upload {
+    milliseconds finished_at;
+    milliseconds deadline;
+    int expected_status;
+    bool expected_run;
+    std::string attempt{};
+    std::string response{};
+  };
+  std::vector<Upload> uploads{
+      // Runs to its end.
+      {milliseconds(500), seconds(6), 200, true},
+      // In progress when the daemon ends.
+      {milliseconds(2000), seconds(9), 502, true},
+      // Too late.
+      {milliseconds(3600), seconds(6), 503, false},
+      {milliseconds(4500), seconds(6), 503, false},
+      // Late, but ended by its deadline before the daemon ends.
+      {milliseconds(3600), seconds(1), 504, true},
+  };
+  Vm& stopping = fixture.fleet.vm("lookup-0");
+  const auto started = Clock::now();
+  std::vector<std::thread> callers;
+  for (Upload& upload : uploads) {
+    (void)fixture.request(kHost, "/x");
+    upload.attempt = fixture.last_attempt;
+    const std::string head = "POST /x HTTP/1.1\r\nHost: " + std::string(kHost) + "\r\nX-Attempt-Id: " + upload.attempt +
+                             "\r\nX-Deadline-Ms: " + std::to_string(upload.deadline.count()) +
+                             "\r\nContent-Length: 3\r\n\r\n";
+    callers.emplace_back([&upload, head, started, port = stopping.ports.caller_port] {
+      upload.response = upload_slowly(port, head, "xyz", started + upload.finished_at);
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(100));
+  stopping.daemon->signal(SIGTERM);
+  for (std::thread& caller : callers) caller.join();
+  (void)stopping.daemon->wait(seconds(6));
+  fixture.fleet.on_loop([&] {
+    for (const Upload& upload : uploads) {
+      const std::string expected = "HTTP/1.1 " + std::to_string(upload.expected_status);
+      CHECK_MESSAGE(upload.response.starts_with(expected), upload.finished_at.count(), " ",
+                    upload.response.substr(0, 16));
+      CHECK_MESSAGE(fixture.fleet.execution_log().runs.contains(upload.attempt) == upload.expected_run,
+                    upload.finished_at.count());
+    }
+  });
+}
+
 TEST_CASE("a request at a temporarily silent daemon is neither given up nor run twice") {
   for (const bool idempotent : {true, false}) {
     ProcessFleetFixture fixture({{"lookup", idempotent, 2, ""}}, idempotent ? "silence" : "silence-order");
--- a/test/meshfleet/server.cc
+++ b/test/meshfleet/server.cc
@@ -133,7 +133,7 @@
     return;
   }
   auto timer = std::make_shared<boost::asio::steady_timer>(io_);
-  timer->expires_after(milliseconds(5 + random_() % 60));
+  timer->expires_after(run_time_ + milliseconds(5 + random_() % 60));
   timer->async_wait([this, timer, request, attempt, generation = generation_](const boost::system::error_code& error) {
     if (!error && generation == generation_ && listener_ != nullptr) run(request, attempt);
   });
--- a/test/meshfleet/server.h
+++ b/test/meshfleet/server.h
@@ -74,6 +74,8 @@
   [[nodiscard]] bool leave_acknowledged() const noexcept { return leave_acknowledged_ != Clock::time_point::max(); }
   /// @brief Sets the status of all further responses.
   void set_status(int status) noexcept { status_ = status; }
+  /// @brief Sets how long each further request runs in addition to a random time below 70 ms.
+  void set_run_time(std::chrono::milliseconds time) noexcept { run_time_ = time; }
   /// @brief Sets the share of further requests that the server rejects without running them.
   void set_rejected_share(double share) noexcept { rejected_share_ = share; }
 
@@ -106,6 +108,7 @@
   bool leaving_ = false;
   int status_ = 200;
   double rejected_share_ = 0;
+  std::chrono::milliseconds run_time_{0};
   /// Time at which the daemon acknowledged the departure.
   Clock::time_point leave_acknowledged_ = Clock::time_point::max();
 };
