Count the fields and buffers of incomplete messages

Callers: a faulty server that sends headers without end takes the daemon beside it beyond its memory, and so do callers that stop within a header; a daemon that is killed for it loses all requests that it holds.

Cause: the parser stores the fields of a header as they arrive, and short ones take several times their bytes. They were counted for a request once its header was complete, for a response never. The reader of responses also kept the buffer of received bytes.

Change: both readers count the fields parsed so far, and both free the buffer.

The last one replaces the same check of requests alone and is stricter: the message is larger and responses are checked too.

Conclusion: works because the limit of all answers now sees what they take.

--- a/src/damaskthread/mesh/http_codec.cc
+++ b/src/damaskthread/mesh/http_codec.cc
@@ -36,6 +36,13 @@
   return headers;
 }
 
+template <typename Fields>
+std::size_t fields_memory(const Fields& fields) {
+  std::size_t bytes = 0;
+  for (const auto& field : fields) bytes += kFieldOverheadBytes + field.name_string().size() + field.value().size();
+  return bytes;
+}
+
 template <typename Parser>
 ReadState parse(Parser& parser, std::string& pending) {
   std::size_t consumed = 0;
@@ -51,6 +58,10 @@
     if (error || parsed == 0) break;
   }
   pending.erase(0, consumed);
+  // Frees the space of the parsed bytes, which is as large as a read and not counted.
+  if (pending.size() <= core::kMaxIdleBufferBytes && pending.capacity() > core::kMaxIdleBufferBytes) {
+    std::string(pending).swap(pending);
+  }
   if (parser.is_done()) return ReadState::kDone;
   if (!error) return ReadState::kNeedMore;
   if (error == bhttp::error::header_limit || error == bhttp::error::buffer_overflow) return ReadState::kHeaderTooLarge;
@@ -92,6 +103,7 @@
 void RequestReader::reset() {
   parser_ = std::make_unique<Parser>();
   header_memory_ = 0;
+  header_counted_ = false;
   parser_->eager(true);
   parser_->header_limit(static_cast<std::uint32_t>(max_header_bytes_));
   parser_->body_limit(max_body_bytes_);
@@ -104,15 +116,9 @@
 
 ReadState RequestReader::parse_pending() {
   const ReadState state = parse(*parser_, pending_);
-  // Frees the space of the parsed bytes, which is as large as a read and not counted.
-  if (pending_.size() <= core::kMaxIdleBufferBytes && pending_.capacity() > core::kMaxIdleBufferBytes) {
-    std::string(pending_).swap(pending_);
-  }
-  if (header_memory_ == 0 && parser_->is_header_done()) {
-    header_memory_ = parser_->get().target().size();
-    for (const auto& field : parser_->get()) {
-      header_memory_ += kFieldOverheadBytes + field.name_string().size() + field.value().size();
-    }
+  if (!header_counted_) {
+    header_memory_ = parser_->get().target().size() + fields_memory(parser_->get());
+    header_counted_ = parser_->is_header_done();
   }
   // Behind the header only chunk sizes with their extensions and trailers stay unparsed; they have no limit of their
   // own.
@@ -161,6 +167,8 @@
 
 void ResponseReader::reset() {
   parser_ = std::make_unique<Parser>();
+  header_memory_ = 0;
+  header_counted_ = false;
   parser_->eager(true);
   parser_->header_limit(kMaxResponseHeaderBytes);
   parser_->body_limit(max_body_bytes_);
@@ -174,6 +182,10 @@
 ReadState ResponseReader::parse_pending() {
   for (;;) {
     const ReadState state = parse(*parser_, pending_);
+    if (!header_counted_) {
+      header_memory_ = fields_memory(parser_->get());
+      header_counted_ = parser_->is_header_done();
+    }
     if (state == ReadState::kNeedMore && pending_.size() > kMaxFramingBytes) return ReadState::kMalformed;
     const unsigned status = parser_->get().result_int();
     // Beast accepts any three digits. Other numbers are no HTTP status, and nobody may take them for an answer.
@@ -193,7 +205,9 @@
 }
 
 bool ResponseReader::started() const noexcept { return parser_->got_some() || !pending_.empty(); }
-std::size_t ResponseReader::held_bytes() const noexcept { return pending_.size() + parser_->get().body().size(); }
+std::size_t ResponseReader::held_bytes() const noexcept {
+  return pending_.size() + header_memory_ + parser_->get().body().size();
+}
 
 http::Response ResponseReader::take() {
   keep_alive_ = parser_->keep_alive();
--- a/src/damaskthread/mesh/http_codec.h
+++ b/src/damaskthread/mesh/http_codec.h
@@ -52,8 +52,10 @@
   std::size_t max_body_bytes_;
   std::unique_ptr<Parser> parser_;
   std::string pending_;
-  /// Memory of the parsed header; 0 until it is complete.
+  /// Memory of the fields parsed so far.
   std::size_t header_memory_ = 0;
+  /// It includes all fields of the header.
+  bool header_counted_ = false;
   bool keep_alive_ = true;
 };
 
@@ -95,6 +97,10 @@
   std::unique_ptr<Parser> parser_;
   std::string pending_;
   int interim_responses_ = 0;
+  /// Memory of the fields parsed so far, a multiple of their bytes if they are short.
+  std::size_t header_memory_ = 0;
+  /// It includes all fields of the header.
+  bool header_counted_ = false;
   bool keep_alive_ = true;
 };
 
--- a/test/damaskthread/mesh/http_codec_test.cc
+++ b/test/damaskthread/mesh/http_codec_test.cc
@@ -39,6 +39,25 @@
   return result;
 }
 
+constexpr std::size_t kReaders = 100;
+
+// Lets many readers hold the same incomplete message.
+// @return The bytes that they count, and the bytes that they allocated.
+template <typename CreateReader>
+std::pair<std::size_t, std::size_t> hold_incomplete(const std::string& message, CreateReader create) {
+  std::vector<decltype(create())> readers;
+  readers.reserve(kReaders);
+  std::size_t counted = 0;
+  const auto before = ::mallinfo2();
+  for (std::size_t i = 0; i < kReaders; ++i) {
+    readers.push_back(create());
+    REQUIRE(readers.back()->add(message) == ReadState::kNeedMore);
+    counted += readers.back()->held_bytes();
+  }
+  const auto after = ::mallinfo2();
+  return {counted, after.uordblks + after.hblkhd - before.uordblks - before.hblkhd};
+}
+
 }  // namespace
 
 TEST_CASE("unbounded data is rejected with bounded memory in every part of a response") {
@@ -79,28 +98,24 @@
 }
 
 // The buffer of received bytes kept its size after they were parsed, so that callers that stop within a body held about
-// twice the memory that was counted for them.
-TEST_CASE("an incomplete body takes little more memory than the bytes that are counted for it") {
-  constexpr std::size_t kReaders = 100;
+// twice the memory that was counted for them. The same held for responses, and fields were not counted before the
+// header was complete.
+TEST_CASE("an incomplete message takes little more memory than the bytes that are counted for it") {
   const std::string data(60'000, 'x');
-  std::string with_length = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 60001\r\n\r\n";
+  std::string with_length = "Host: x\r\nContent-Length: 60001\r\n\r\n";
   with_length += data;
-  std::string chunked = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nea60\r\n";
+  std::string chunked = "Host: x\r\nTransfer-Encoding: chunked\r\n\r\nea60\r\n";
   chunked.append(data).append("\r\n1");
-  for (const std::string& request : {with_length, chunked}) {
-    std::vector<std::unique_ptr<RequestReader>> readers;
-    readers.reserve(kReaders);
-    std::size_t counted = 0;
-    const auto before = ::mallinfo2();
-    for (std::size_t i = 0; i < kReaders; ++i) {
-      readers.push_back(std::make_unique<RequestReader>(16'384, 1'000'000));
-      REQUIRE(readers.back()->add(request) == ReadState::kNeedMore);
-      counted += readers.back()->held_bytes();
-    }
-    const auto after = ::mallinfo2();
-    const std::size_t allocated = after.uordblks + after.hblkhd - before.uordblks - before.hblkhd;
-    CHECK(counted >= kReaders * data.size());
-    CHECK(allocated < counted + counted / 4);
+  std::string fields;
+  while (fields.size() < 12'000) fields += "a: b\r\n";
+  for (const std::string& rest : {with_length, chunked, fields}) {
+    const auto [counted_requests, allocated_requests] = hold_incomplete(
+        "POST / HTTP/1.1\r\n" + rest, [] { return std::make_unique<RequestReader>(16'384, 1'000'000); });
+    const auto [counted_responses, allocated_responses] =
+        hold_incomplete("HTTP/1.1 200 OK\r\n" + rest, [] { return std::make_unique<ResponseReader>(1'000'000); });
+    for (const std::size_t counted : {counted_requests, counted_responses}) CHECK(counted >= kReaders * rest.size());
+    CHECK(allocated_requests < counted_requests + counted_requests / 4);
+    CHECK(allocated_responses < counted_responses + counted_responses / 4);
   }
 }
 
--- a/test/meshfleet/caller_memory_test.cc
+++ b/test/meshfleet/caller_memory_test.cc
@@ -96,10 +96,10 @@
 
 // Callers send to a daemon whose own server does not run their requests, so that both daemons hold the bodies.
 struct CallerMemoryFixture {
-  explicit CallerMemoryFixture(const std::string& name, const FleetLimits& fleet_limits = kCrowdLimits)
+  explicit CallerMemoryFixture(const std::string& name, const FleetLimits& fleet_limits = kCrowdLimits,
+                               std::vector<ServiceSpec> services = {{"upload", false, 1, ""}, {"front", false, 1, ""}})
       : limits(fleet_limits),
-        fleet({{"upload", false, 1, "", false}, {"front", false, 1, "", false}},
-              support::program_path("meshfleet-logs/" + name), limits),
+        fleet(std::move(services), support::program_path("meshfleet-logs/" + name), limits),
         crowd(fleet.vm("front-0").ports.caller_port) {
     REQUIRE(fleet.start());
     for (const auto& vm : fleet.vms()) REQUIRE(answers_ordinary_request(*vm));
@@ -119,14 +119,13 @@
     }
   }
 
-  bool answers_ordinary_request(const Vm& vm) {
+  bool answers_ordinary_request(const Vm& vm, const std::string& host = "upload.example") {
     const auto end = std::chrono::steady_clock::now() + kTestTimeout;
     while (std::chrono::steady_clock::now() < end) {
       support::HttpCall call;
       call.method = "POST";
       call.target = "/x";
-      call.headers = {
-          {"Host", "upload.example"}, {"X-Attempt-Id", "o" + std::to_string(++attempts)}, {"X-Deadline-Ms", "20000"}};
+      call.headers = {{"Host", host}, {"X-Attempt-Id", "o" + std::to_string(++attempts)}, {"X-Deadline-Ms", "20000"}};
       call.body = "ordinary";
       call.timeout = seconds(21);
       support::HttpCaller caller("127.0.0.1", vm.ports.caller_port);
@@ -222,6 +221,74 @@
   fixture.check_daemons();
 }
 
+// The fields of a header were not counted before the header was complete, and take several times their bytes.
+TEST_CASE("many incomplete headers of short fields do not exhaust the memory of a daemon") {
+  CallerMemoryFixture fixture("short-fields");
+  std::string header = "GET /x HTTP/1.1\r\nHost: upload.example\r\n";
+  while (header.size() < 16'000) header += "a: b\r\n";
+  for (int i = 0; i < 400; ++i) fixture.crowd.add(header);
+  fixture.crowd.send(8 * kKilobyte);
+  fixture.check_daemons();
+}
+
+// A faulty server sent bytes without end, all of which were kept until the machine that called it ran out of memory.
+TEST_CASE("answers without end do not exhaust the memory of a daemon nor keep other requests from being served") {
+  constexpr int kCapacity = 240;
+  const std::string filler(64 * kKilobyte, 'x');
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked_head = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const auto many = [](const std::string& text) {
+    std::string result;
+    while (result.size() < 64 * kKilobyte) result += text;
+    return result;
+  };
+  struct Endless {
+    const char* part;
+    std::string start;
+    std::string repeated;
+  };
+  const std::vector<Endless> answers = {
+      {"no answer", "", filler},
+      {"status line", "HTTP/1.1 200 ", filler},
+      {"fields", ok, many("X-Filler: x\r\n")},
+      {"value of a field", ok + "X-Filler: ", filler},
+      {"interim responses", "", many("HTTP/1.1 100 Continue\r\n\r\n")},
+      {"responses to other requests", "", many(ok + "X-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n")},
+      {"body", ok + "\r\n", filler},
+      {"body with a length", ok + "Content-Length: 1000000000000\r\n\r\n", filler},
+      {"chunks", chunked_head, many("1\r\nx\r\n")},
+      {"chunk extension", chunked_head + "1;", filler},
+      {"trailers", chunked_head + "1\r\nx\r\n0\r\n", many("X-Filler: x\r\n")},
+  };
+  ServiceSpec faulty{"upload", false, 1, ""};
+  faulty.server_proxies = true;
+  faulty.capacity = kCapacity;
+  CallerMemoryFixture fixture("endless-answers", kCrowdLimits, {faulty, {"front", false, 1, ""}});
+  const Vm& machine = fixture.fleet.vm("upload-0");
+  for (const Endless& answer : answers) {
+    INFO(answer.part);
+    std::size_t before = 0;
+    fixture.fleet.on_loop([&] {
+      before = machine.server_proxy->endless_bytes();
+      machine.server_proxy->set_endless_text(answer.start, answer.repeated);
+      machine.server_proxy->set_mode(Proxy::Mode::kEndless);
+    });
+    Crowd crowd(machine.ports.caller_port);
+    for (int i = 0; i < kCapacity; ++i) crowd.add(fixture.head("Content-Length: 0"));
+    crowd.send(kKilobyte);
+    CHECK(fixture.answers_ordinary_request(machine, "front.example"));
+    std::size_t sent = 0;
+    fixture.fleet.on_loop([&] {
+      sent = machine.server_proxy->endless_bytes() - before;
+      machine.server_proxy->set_mode(Proxy::Mode::kPass);
+    });
+    CHECK(sent > kCapacity * 64 * kKilobyte);
+    REQUIRE(!machine.daemon->wait(milliseconds(0)));
+    CHECK(fixture.answers_ordinary_request(machine));
+  }
+  fixture.check_daemons();
+}
+
 // About five copies of a body were held at once.
 TEST_CASE("a single body of the largest permitted size is served within the memory of a daemon") {
   CallerMemoryFixture fixture("largest-body", {160, 1024, 64 * kMegabyte, seconds{20}});
--- a/test/meshfleet/fleet.cc
+++ b/test/meshfleet/fleet.cc
@@ -88,6 +88,7 @@
   const std::string callee = service.callee.empty() ? "" : service.callee + ".example";
   vm->server = std::make_unique<Server>(io_, service.name, vm->ports, callee, execution_log_,
                                         static_cast<unsigned>(vms_.size()), service.max_response_bytes);
+  vm->server->set_capacity(service.capacity);
   if (service.server_proxies) {
     vm->server_proxy = std::make_unique<Proxy>(io_, vm->ports.server_proxy_port, vm->ports.server_port);
   }
--- a/test/meshfleet/fleet.h
+++ b/test/meshfleet/fleet.h
@@ -39,6 +39,8 @@
   std::size_t max_response_bytes = kDefaultMaxResponseBytes;
   /// Whether the route is of the kind `download`; only for idempotent services.
   bool download = false;
+  /// Requests that a server runs at the same time.
+  int capacity = kDefaultCapacity;
 };
 
 /// Ports and processes of one VM.
--- a/test/meshfleet/proxy.cc
+++ b/test/meshfleet/proxy.cc
@@ -14,6 +14,9 @@
 // The idle timeout is long so that the daemons detect faults, not the proxy.
 constexpr mesh::StreamTimeouts kTimings{std::chrono::seconds{1}, std::chrono::seconds{60}};
 
+// Limits consecutive writes, so that one connection cannot starve the others.
+constexpr int kMaxConsecutiveWrites = 16;
+
 }  // namespace
 
 // A forwarded connection: the streams to the client and to the target.
@@ -57,6 +60,10 @@
 
   void forward(std::string_view bytes, bool from_client) {
     const Mode mode = owner_.mode_;
+    if (mode == Mode::kEndless || endless_) {
+      if (from_client && !std::exchange(endless_, true)) send_endless(owner_.endless_start_);
+      return;
+    }
     if (mode == Mode::kSilent || (mode == Mode::kOneWay && !from_client)) {
       (from_client ? held_for_upstream_ : held_for_client_).append(bytes);
       return;
@@ -81,7 +88,24 @@
     });
   }
 
+  // Fills the send buffer whenever the client has read a part of it.
+  void send_endless(const std::string& text) {
+    if (!client_->open()) return;
+    owner_.endless_bytes_ += text.size();
+    client_->write(text);
+    for (int i = 0; i < kMaxConsecutiveWrites && client_->open() && client_->unsent_bytes() == 0; ++i) {
+      owner_.endless_bytes_ += owner_.endless_repeated_.size();
+      client_->write(owner_.endless_repeated_);
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(owner_.io_);
+    timer->expires_after(std::chrono::milliseconds{1});
+    timer->async_wait([self = shared_from_this(), timer](const auto& error) {
+      if (!error) self->send_endless({});
+    });
+  }
+
   Proxy& owner_;
+  bool endless_ = false;
   std::shared_ptr<mesh::Stream> client_;
   std::shared_ptr<mesh::Stream> upstream_;
   Reader client_reader_;
@@ -113,6 +137,11 @@
     connection->flush_held();
 }
 
+void Proxy::set_endless_text(std::string start, std::string repeated) {
+  endless_start_ = std::move(start);
+  endless_repeated_ = std::move(repeated);
+}
+
 void Proxy::reset_all() {
   for (const auto& connection : std::vector<std::shared_ptr<Connection>>(connections_.begin(), connections_.end()))
     connection->close();
--- a/test/meshfleet/server.cc
+++ b/test/meshfleet/server.cc
@@ -14,7 +14,6 @@
 constexpr milliseconds kHeartbeat{300};
 // No request may arrive later than this after the acknowledgement of a departure.
 constexpr seconds kDrainBound{2};
-constexpr int kCapacity = 20;
 constexpr std::size_t kMinResponseBytes = 200;
 
 std::string address(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
@@ -79,7 +78,7 @@
   request.headers = {{"Host", address(ports_.control_port)}};
   request.body = R"({"address":")" + address(ports_.local_server()) + R"(","born":)" + std::to_string(started_at_ms_) +
                  R"(,"info":{"service":")" + service_ + R"(","version":"v1","zone":"z","capacity":)" +
-                 std::to_string(kCapacity) + R"(},"status":{"state":")" + (leaving_ ? "draining" : "ready") +
+                 std::to_string(capacity_) + R"(},"status":{"state":")" + (leaving_ ? "draining" : "ready") +
                  R"(","sequence":)" + std::to_string(++sequence_) + R"(,"cold_left":"0ms"}})";
   if (control_ != nullptr) control_->close();
   control_ = std::make_shared<mesh::HttpConnection>(io_, http::Endpoint{"127.0.0.1", ports_.control_port},
--- a/test/meshfleet/server.h
+++ b/test/meshfleet/server.h
@@ -38,6 +38,9 @@
   std::vector<std::string> violations;
 };
 
+/// Requests that a server runs at the same time, if a service sets no other number.
+constexpr int kDefaultCapacity = 20;
+
 /// Upper bound of the size of a response body, if a service sets none.
 constexpr std::size_t kDefaultMaxResponseBytes = 20'000;
 
@@ -76,6 +79,8 @@
   void set_status(int status) noexcept { status_ = status; }
   /// @brief Sets how long each further request runs in addition to a random time below 70 ms.
   void set_run_time(std::chrono::milliseconds time) noexcept { run_time_ = time; }
+  /// @brief Sets the capacity in further heartbeats.
+  void set_capacity(int capacity) noexcept { capacity_ = capacity; }
   /// @brief Sets the share of further requests that the server rejects without running them.
   void set_rejected_share(double share) noexcept { rejected_share_ = share; }
 
@@ -109,6 +114,7 @@
   int status_ = 200;
   double rejected_share_ = 0;
   std::chrono::milliseconds run_time_{0};
+  int capacity_ = kDefaultCapacity;
   /// Time at which the daemon acknowledged the departure.
   Clock::time_point leave_acknowledged_ = Clock::time_point::max();
 };
