Mend what the linter refuses in two tests

The test of answers without end multiplied in a narrower type.

Change: names, one condition for both failures, reserved capacity, a wider type. What is checked stays.

--- a/test/damaskthread/quota/lease_test.cc
+++ b/test/damaskthread/quota/lease_test.cc
@@ -36,59 +36,58 @@
   explicit Daemon(int index) : lease(std::to_string(index)) { lease.set_wanted(true); }
 
   void step(Record& record, core::TimePoint now, core::Random& random) {
-    if (now < suspended_until) return;
+    if (now < suspended_until_) return;
     const auto chance = [&random](double p) { return std::bernoulli_distribution(p)(random); };
-    if (chance(0.0005)) suspended_until = now + milliseconds(std::uniform_int_distribution<int>(100, 40'000)(random));
-    if (call != Lease::Step::kNone) {
-      if (!executed && now >= execute_at) execute(record, lost_request);
-      if (now < answer_at) return;
-      const Lease::Step ended = std::exchange(call, Lease::Step::kNone);
-      if (!answered) {
+    if (chance(0.0005)) suspended_until_ = now + milliseconds(std::uniform_int_distribution<int>(100, 40'000)(random));
+    if (call_ != Lease::Step::kNone) {
+      if (!executed_ && now >= execute_at_) execute(record, lost_request_);
+      if (now < answer_at_) return;
+      const Lease::Step ended = std::exchange(call_, Lease::Step::kNone);
+      const bool failed = !answered_ || (ended == Lease::Step::kWrite && !accepted_);
+      if (failed) {
         lease.on_failed(now);
       } else if (ended == Lease::Step::kRead) {
-        lease.on_read(seen.holder, seen.end, now);
-      } else if (accepted) {
-        lease.on_written();
+        lease.on_read(seen_.holder, seen_.end, now);
       } else {
-        lease.on_failed(now);
+        lease.on_written();
       }
     }
-    call = lease.next_step(now);
-    if (call == Lease::Step::kNone) return;
+    call_ = lease.next_step(now);
+    if (call_ == Lease::Step::kNone) return;
     lease.on_started(now);
-    executed = answered = accepted = false;
-    lost_request = chance(0.1);
-    lost_answer = chance(0.2);
-    write_at = lease.end();
-    execute_at = now + milliseconds(std::uniform_int_distribution<int>(0, 1200)(random));
-    answer_at = execute_at + milliseconds(std::uniform_int_distribution<int>(0, 1200)(random));
+    executed_ = answered_ = accepted_ = false;
+    lost_request_ = chance(0.1);
+    lost_answer_ = chance(0.2);
+    write_at_ = lease.end();
+    execute_at_ = now + milliseconds(std::uniform_int_distribution<int>(0, 1200)(random));
+    answer_at_ = execute_at_ + milliseconds(std::uniform_int_distribution<int>(0, 1200)(random));
   }
 
   Lease lease;
 
  private:
   void execute(Record& record, bool lost) {
-    executed = true;
+    executed_ = true;
     if (lost) return;
-    answered = !lost_answer;
-    if (call == Lease::Step::kRead) {
-      seen = record;
+    answered_ = !lost_answer_;
+    if (call_ == Lease::Step::kRead) {
+      seen_ = record;
     } else {
-      accepted = record.write(lease.self(), write_at);
+      accepted_ = record.write(lease.self(), write_at_);
     }
   }
 
-  Lease::Step call = Lease::Step::kNone;
-  core::TimePoint suspended_until;
-  core::TimePoint execute_at;
-  core::TimePoint answer_at;
-  std::uint64_t write_at = 0;
-  Record seen;
-  bool lost_request = false;
-  bool lost_answer = false;
-  bool executed = false;
-  bool answered = false;
-  bool accepted = false;
+  Lease::Step call_ = Lease::Step::kNone;
+  core::TimePoint suspended_until_;
+  core::TimePoint execute_at_;
+  core::TimePoint answer_at_;
+  std::uint64_t write_at_ = 0;
+  Record seen_;
+  bool lost_request_ = false;
+  bool lost_answer_ = false;
+  bool executed_ = false;
+  bool answered_ = false;
+  bool accepted_ = false;
 };
 
 }  // namespace
@@ -99,6 +98,7 @@
     core::Random random(seed);
     Record record;
     std::vector<Daemon> daemons;
+    daemons.reserve(4);
     for (int i = 0; i < 4; ++i) daemons.emplace_back(i);
     core::TimePoint now{seconds(100)};
     int held_steps = 0;
--- a/test/meshfleet/caller_memory_test.cc
+++ b/test/meshfleet/caller_memory_test.cc
@@ -233,7 +233,7 @@
 
 // A faulty server sent bytes without end, all of which were kept until the machine that called it ran out of memory.
 TEST_CASE("answers without end do not exhaust the memory of a daemon nor keep other requests from being served") {
-  constexpr int kCapacity = 240;
+  constexpr std::size_t kCapacity = 240;
   const std::string filler(64 * kKilobyte, 'x');
   const std::string ok = "HTTP/1.1 200 OK\r\n";
   const std::string chunked_head = ok + "Transfer-Encoding: chunked\r\n\r\n";
@@ -262,7 +262,7 @@
   };
   ServiceSpec faulty{"upload", false, 1, ""};
   faulty.server_proxies = true;
-  faulty.capacity = kCapacity;
+  faulty.capacity = static_cast<int>(kCapacity);
   CallerMemoryFixture fixture("endless-answers", kCrowdLimits, {faulty, {"front", false, 1, ""}});
   const Vm& machine = fixture.fleet.vm("upload-0");
   for (const Endless& answer : answers) {
@@ -274,7 +274,7 @@
       machine.server_proxy->set_mode(Proxy::Mode::kEndless);
     });
     Crowd crowd(machine.ports.caller_port);
-    for (int i = 0; i < kCapacity; ++i) crowd.add(fixture.head("Content-Length: 0"));
+    for (std::size_t i = 0; i < kCapacity; ++i) crowd.add(fixture.head("Content-Length: 0"));
     crowd.send(kKilobyte);
     CHECK(fixture.answers_ordinary_request(machine, "front.example"));
     std::size_t sent = 0;
